--- /dev/null
+++ b/src/api/users.cpp
@@ -0,0 +1,165 @@
+#include "api/users.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "placement/placement.hpp"
+#include "state/keys.hpp"
+
+namespace coralhitch::api {
+namespace keys = state::keys;
+using wire::JobState;
+
+namespace {
+http::Response later() { return {503, wire::error_body("try again"), "application/json", 1}; }
+http::Response status(int code, const wire::JobStatus& s) { return {code, wire::job_status(s)}; }
+constexpr int cancel_tries = 4;
+constexpr std::size_t finals_per_mb = 50;  // cached final states for each MB of memory that is granted
+}  // namespace
+
+Verdict judge(const wire::Job& job, const std::vector<wire::MachineType>& types, const config::Settings& settings) {
+    auto team = std::find_if(settings.teams.begin(), settings.teams.end(),
+                             [&](auto& t) { return t.name == job.team; });
+    if (team == settings.teams.end()) return {false, "unknown team"};
+    bool fits = std::any_of(types.begin(), types.end(), [&](auto& t) {
+        return t.room.holds(job.need) && std::any_of(t.zones.begin(), t.zones.end(), [&](auto& z) {
+                   return placement::type_allowed(job, t.name, z, false);
+               });
+    });
+    if (!fits) return {false, "a task fits no allowed machine type"};
+    double at_once = job.kind == wire::Kind::array ? 1 : static_cast<double>(job.tasks);
+    if (!placement::team_allows(*team, {}, job.need.times(at_once))) return {false, "more than the team's limit"};
+    return {};
+}
+
+Users::Users(loop::Timers& timers, state::Client& state, const config::Settings& settings, Surroundings& around)
+    : timers_(timers), state_(state), settings_(settings), around_(around) {}
+
+// Live first, then final: a job moves in that direction only, in one transaction, so a job that is in neither
+// was not accepted when the reads began.
+void Users::look_up(const std::string& id, std::function<void(Known)> done) {
+    if (auto it = finals_.find(id); it != finals_.end()) return done({true, {}, 0, it->second});
+    state_.get(keys::job(id), state::Rank::read, [this, id, done](state::Found f) {
+        if (!f.ok) return done({});
+        try {
+            if (f.entry) return done({true, wire::parse_job_record(f.entry->value), f.entry->version, {}});
+        } catch (const wire::Malformed& m) {
+            spdlog::error("job record {}: {}", id, m.what());
+            return done({});
+        }
+        state_.get(keys::final(id), state::Rank::read, [this, id, done](state::Found g) {
+            if (!g.ok) return done({});
+            if (!g.entry) return done({true, {}, 0, {}});
+            try {
+                auto r = wire::parse_final_record(g.entry->value);
+                if (finals_.size() > settings_.memory_mb * finals_per_mb) finals_.clear();
+                finals_[id] = r;
+                done({true, {}, 0, r});
+            } catch (const wire::Malformed& m) {
+                spdlog::error("final record {}: {}", id, m.what());
+                done({});
+            }
+        });
+    });
+}
+
+void Users::answer_known(const std::string& id, const Known& k, bool with_counts, http::Reply reply) {
+    if (k.final) {
+        wire::JobStatus s{id, k.final->state, {}, {}};
+        if (with_counts) {
+            s.done = k.final->state == JobState::done ? k.final->tasks : 0;
+            s.running = 0;
+        }
+        return reply(status(200, s));
+    }
+    if (k.live->cancelled) return reply(status(200, {id, JobState::cancelled, {}, {}}));
+    // Counts are for display only; whether the job is over was read from the state service just now.
+    around_.counts(id, [id, with_counts, reply](std::optional<TaskCounts> c) {
+        wire::JobStatus s{id, c && c->running > 0 ? JobState::running : JobState::queued, {}, {}};
+        if (with_counts) {
+            s.done = c ? c->done : 0;
+            s.running = c ? c->running : 0;
+        }
+        reply(status(200, s));
+    });
+}
+
+void Users::query(const std::string& id, http::Reply reply) {
+    if (!wire::valid_job_id(id)) return reply({404, wire::error_body("no such job")});
+    look_up(id, [this, id, reply](Known k) {
+        if (!k.ok) return reply(later());
+        if (k.unknown()) return reply({404, wire::error_body("no such job")});
+        answer_known(id, k, true, reply);
+    });
+}
+
+// An accepted job's retry is answered with its state, whatever the rest of the body now says.
+void Users::refuse_unless_known(const std::optional<std::string>& id, http::Response refusal, http::Reply reply) {
+    if (!id) return reply(std::move(refusal));
+    look_up(*id, [this, id = *id, refusal, reply](Known k) {
+        if (!k.ok) return reply(later());
+        if (k.unknown()) return reply(refusal);
+        answer_known(id, k, false, reply);
+    });
+}
+
+void Users::submit(const std::string& body, http::Reply reply) {
+    wire::Job job;
+    try {
+        job = wire::parse_job(body);
+    } catch (const wire::Malformed& m) {
+        return refuse_unless_known(wire::job_id_of(body), {400, wire::error_body(m.what())}, reply);
+    }
+    auto id = job.id;
+    if (around_.types().empty()) return refuse_unless_known(id, later(), reply);
+    auto verdict = judge(job, around_.types(), settings_);
+    if (!verdict.runnable) return refuse_unless_known(id, {422, wire::error_body(verdict.reason)}, reply);
+    // Only types that exist matter; a long list of others must not make the record too large.
+    if (job.types)
+        std::erase_if(*job.types, [&](auto& t) {
+            return std::none_of(around_.types().begin(), around_.types().end(),
+                                [&](auto& known) { return known.name == t; });
+        });
+    store(std::move(job), reply);
+}
+
+void Users::store(wire::Job job, http::Reply reply) {
+    auto id = job.id;
+    wire::Txn t;
+    t.conditions = {{keys::job(id), 0}, {keys::final(id), 0}};
+    t.changes = {{keys::job(id), wire::stored(wire::JobRecord{std::move(job), timers_.unix_time(), false}), 0}};
+    state_.txn(std::move(t), state::Rank::write, [this, id, reply](state::Committed c) {
+        using S = state::Committed::Status;
+        if (c.status == S::committed) return reply(status(201, {id, JobState::queued, {}, {}}));
+        if (c.status == S::refused) return reply(later());
+        // Known already, or the answer was lost: read, then decide. If it is not there yet, the user asks again.
+        refuse_unless_known(id, later(), reply);
+    });
+}
+
+void Users::cancel(const std::string& id, http::Reply reply, int tries) {
+    if (!wire::valid_job_id(id)) return reply({404, wire::error_body("no such job")});
+    if (tries >= cancel_tries) return reply(later());
+    look_up(id, [this, id, reply, tries](Known k) {
+        if (!k.ok) return reply(later());
+        if (k.unknown()) return reply({404, wire::error_body("no such job")});
+        if (k.final || k.live->cancelled) return answer_known(id, k, false, reply);
+        wire::Txn t;
+        t.conditions = {{keys::job(id), k.version}};
+        auto record = *k.live;
+        record.cancelled = true;
+        t.changes = {{keys::job(id), wire::stored(record), 0}};
+        state_.txn(std::move(t), state::Rank::write, [this, id, reply, tries](state::Committed c) {
+            using S = state::Committed::Status;
+            if (c.status == S::committed) {
+                around_.cancelled(id, c.revision);
+                return reply(status(200, {id, JobState::cancelled, {}, {}}));
+            }
+            if (c.status == S::refused) return reply(later());
+            cancel(id, reply, tries + 1);
+        });
+    });
+}
+
+}  // namespace coralhitch::api
--- /dev/null
+++ b/src/api/users.hpp
@@ -0,0 +1,64 @@
+// The users' interface: submit, query, cancel, on any controller, on the authority of the state service.
+#pragma once
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config/settings.hpp"
+#include "http/message.hpp"
+#include "loop/timers.hpp"
+#include "state/client.hpp"
+#include "wire/protocol.hpp"
+
+namespace coralhitch::api {
+
+struct Verdict {
+    bool runnable = true;
+    std::string reason;
+};
+// Whether the job can ever run on what exists.
+Verdict judge(const wire::Job& job, const std::vector<wire::MachineType>& types, const config::Settings& settings);
+
+struct TaskCounts {
+    std::uint64_t done = 0, running = 0;
+};
+
+// What the interface needs of the controller it is part of.
+class Surroundings {
+  public:
+    virtual ~Surroundings() = default;
+    virtual const std::vector<wire::MachineType>& types() const = 0;  // empty: not known yet
+    virtual void counts(const std::string& id, std::function<void(std::optional<TaskCounts>)> done) = 0;
+    virtual void cancelled(const std::string& id, std::uint64_t version) = 0;
+};
+
+class Users {
+  public:
+    Users(loop::Timers& timers, state::Client& state, const config::Settings& settings, Surroundings& around);
+    void submit(const std::string& body, http::Reply reply);
+    void query(const std::string& id, http::Reply reply);
+    void cancel(const std::string& id, http::Reply reply, int tries = 0);
+
+  private:
+    struct Known {
+        bool ok = false;  // false: the state service did not answer
+        std::optional<wire::JobRecord> live;
+        std::uint64_t version = 0;
+        std::optional<wire::FinalRecord> final;
+        bool unknown() const { return ok && !live && !final; }
+    };
+    void look_up(const std::string& id, std::function<void(Known)> done);
+    void answer_known(const std::string& id, const Known& k, bool with_counts, http::Reply reply);
+    void refuse_unless_known(const std::optional<std::string>& id, http::Response refusal, http::Reply reply);
+    void store(wire::Job job, http::Reply reply);
+
+    loop::Timers& timers_;
+    state::Client& state_;
+    const config::Settings& settings_;
+    Surroundings& around_;
+    // Final states never change, so they may be told from memory.
+    std::unordered_map<std::string, wire::FinalRecord> finals_;
+};
+
+}  // namespace coralhitch::api
--- /dev/null
+++ b/src/config/settings.hpp
@@ -0,0 +1,57 @@
+// The platform's settings (TOML) and the operators' own (protobuf text format).
+#pragma once
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace coralhitch::config {
+
+struct BadSettings : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Peer {
+    std::string label, zone, addr;
+};
+struct Team {
+    std::string name;
+    double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // a maximum of 0: no limit
+};
+struct Objective {
+    std::string kind, cls;
+    double within_s = 0, share = 0;
+};
+struct Operator {
+    double lease_ratio = 0.2;
+    double silence_reports = 3.0;
+    std::uint32_t draws = 2;
+    std::uint32_t draw_rounds = 4;
+    double reserve_ratio = 0.15;
+    std::uint32_t max_machines = 0;
+    double idle_boots = 2.0;
+};
+struct Settings {
+    std::string label, zone, listen, peer_listen;
+    std::vector<Peer> peers;
+    std::string cloud_addr, state_addr;
+    std::uint32_t nodes = 1;
+    std::vector<std::string> zones;
+    double clock_off_s = 0;
+    std::vector<Team> teams;
+    std::vector<Objective> objectives;
+    double report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
+    double state_rps = 0, state_write_rps = 0, value_kb = 0;
+    std::uint32_t txn_ops = 0;
+    double cloud_rps = 0, list_lag_s = 0;
+    double cpu_share = 1, memory_mb = 0;
+    std::uint32_t sockets = 0;
+    Operator op;
+};
+
+Settings parse_settings(const std::string& text, const std::string& file);
+Settings load_settings(const std::string& file);
+Operator parse_operator(const std::string& text, const std::string& file);
+Operator load_operator(const std::string& file);
+
+}  // namespace coralhitch::config
--- /dev/null
+++ b/src/daemon/controller.cpp
@@ -0,0 +1,269 @@
+#include "daemon/controller.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "state/keys.hpp"
+
+namespace coralhitch::daemon {
+namespace paths = wire::paths;
+
+namespace {
+// Ratios to the report period.
+constexpr double ping_reports = 1.0 / 2;
+constexpr double state_check_reports = 1.0 / 3;
+constexpr double peer_fresh_reports = 1.5;
+constexpr double counts_reports = 1.0 / 10;
+constexpr double types_reports = 20;
+// After giving way, a controller keeps its leadership for this many worker leases, even if it hears nobody.
+constexpr double resign_leases = 4;
+http::Response packed(std::string body) { return {200, std::move(body), "application/msgpack"}; }
+}  // namespace
+
+Controller::Controller(loop::Timers& timers, http::Requester& http, const config::Settings& settings,
+                       Planner& planner, std::uint64_t seed)
+    : timers_(timers),
+      http_(http),
+      settings_(settings),
+      planner_(planner),
+      random_(seed),
+      incarnation_(random_()),
+      state_(timers, http, settings),
+      election_(timers, state_, settings, incarnation_, random_()),
+      cloud_(timers, http, settings),
+      users_(timers, state_, settings, *this) {
+    for (auto& p : settings.peers) peers_[p.label].peer = p;
+}
+Controller::~Controller() {
+    if (leader_) leader_->stop();
+}
+
+void Controller::start() {
+    election_.start({[this](std::uint64_t v) { won(v); }, [this] { lost(); }, {}});
+    learn_types();
+    ping_peers();
+    check_state();
+}
+
+void Controller::won(std::uint64_t version) {
+    Context c{timers_, http_,    settings_, state_, election_, cloud_, planner_, metrics_,
+              types_,  [this] { return give_way(); }};
+    leader_ = std::make_shared<Leader>(std::move(c), version, random_());
+    leader_->start();
+    metrics_.event("won");
+    store_types();
+}
+void Controller::lost() {
+    metrics_.event("lost");
+    if (leader_) leader_->stop();
+    leader_.reset();
+}
+bool Controller::give_way() {
+    if (last_resigned_ >= 0 && timers_.now() - last_resigned_ < settings_.lease_s * resign_leases) return false;
+    for (auto& [label, p] : peers_) {
+        bool fresh = p.heard >= 0 && timers_.now() - p.heard < settings_.report_s * peer_fresh_reports;
+        if (!fresh || !p.last.state_ok) continue;
+        last_resigned_ = timers_.now();
+        return true;
+    }
+    return false;
+}
+
+// --- Health ---------------------------------------------------------------------------------------------
+
+bool Controller::state_ok() const {
+    return state_.answering() && timers_.now() - state_.last_answer() < settings_.report_s;
+}
+bool Controller::healthy() const {
+    if (!state_seen_ || types_.empty()) return false;
+    if (state_ok()) return true;
+    // Users are better served by a controller that reaches the state service. If none does, going away and
+    // coming back slowly would only add to the outage.
+    for (auto& [label, p] : peers_)
+        if (p.heard >= 0 && timers_.now() - p.heard < settings_.report_s * peer_fresh_reports && p.last.state_ok)
+            return false;
+    return true;
+}
+void Controller::check_state() {
+    state_.get(state::keys::leader, state::Rank::lease, [this](state::Found f) { state_seen_ |= f.ok; });
+    timers_.after(settings_.report_s * state_check_reports, [this] { check_state(); });
+}
+
+wire::PeerPing Controller::own_ping() const {
+    return {settings_.label, incarnation_, election_.leader_version(), election_.leader(), state_ok()};
+}
+void Controller::heard_ping(const wire::PeerPing& p) {
+    auto it = peers_.find(p.label);
+    if (it == peers_.end()) return;
+    it->second.last = p;
+    it->second.heard = timers_.now();
+    election_.peer_says(p.leader, p.leader_version);
+}
+void Controller::ping_peers() {
+    auto body = wire::pack_peer(own_ping());
+    for (auto& [label, p] : peers_)
+        http_.send(p.peer.addr, {"POST", std::string(wire::peer_ping_path), body, "application/msgpack"},
+                   settings_.report_s * ping_reports, [this](std::optional<http::Response> r) {
+                       if (!r || r->status != 200) return;
+                       if (auto p = wire::unpack_peer<wire::PeerPing>(r->body)) heard_ping(*p);
+                   });
+    timers_.after(settings_.report_s * ping_reports, [this] { ping_peers(); });
+}
+
+// --- Machine types --------------------------------------------------------------------------------------
+
+void Controller::set_types(std::vector<wire::MachineType> types) {
+    if (types.empty()) return;
+    types_ = std::move(types);
+    if (leader_) leader_->types_changed();
+}
+void Controller::store_types() {
+    if (!leader_ || types_.empty()) return;
+    auto value = wire::stored_types(types_);
+    if (value == stored_types_ || value.size() > settings_.value_kb * 1024) return;
+    wire::Txn t;
+    t.conditions = {{state::keys::leader, election_.version()}};
+    t.changes = {{state::keys::types, value, 0}};
+    state_.txn(std::move(t), state::Rank::background, [this, value](state::Committed c) {
+        if (c.status == state::Committed::Status::committed) stored_types_ = value;
+    });
+}
+// From the cloud; while it does not answer, from what a leader stored last.
+void Controller::learn_types() {
+    cloud_.types([this](std::optional<std::vector<wire::MachineType>> t) {
+        bool known = t && !t->empty();
+        if (known) {
+            set_types(std::move(*t));
+            store_types();
+        } else if (types_.empty()) {
+            state_.get(state::keys::types, state::Rank::read, [this](state::Found f) {
+                if (!f.entry || !types_.empty()) return;
+                try {
+                    set_types(wire::parse_types(f.entry->value));
+                } catch (const wire::Malformed& m) {
+                    spdlog::error("stored machine types: {}", m.what());
+                }
+            });
+        }
+        double again = known ? settings_.report_s * types_reports : settings_.report_s / 2;
+        timers_.after(again, [this] { learn_types(); });
+    });
+}
+
+// --- Routes ---------------------------------------------------------------------------------------------
+
+void Controller::serve(http::Request r, http::Reply reply) {
+    auto path = r.target.substr(0, r.target.find('?'));
+    auto only = [&](std::string_view method) {
+        if (r.method == method) return true;
+        reply({405, wire::error_body("wrong method")});
+        return false;
+    };
+    if (path == paths::report) {
+        if (only("POST")) hello(r.body, std::move(reply));
+    } else if (path.starts_with(paths::jobs)) {
+        jobs_route(r, path, std::move(reply));
+    } else if (path == paths::health) {
+        if (only("GET")) reply({healthy() ? 200 : 503, "{}"});
+    } else if (path == paths::metrics) {
+        if (only("GET")) reply({200, metrics_.text(), "text/plain; version=0.0.4"});
+    } else {
+        reply({404, wire::error_body("no such path")});
+    }
+}
+
+void Controller::jobs_route(const http::Request& r, const std::string& path, http::Reply reply) {
+    std::string rest = path.substr(paths::jobs.size());
+    auto wrong = [&](int status, const char* what) { reply({status, wire::error_body(what)}); };
+    if (rest.empty()) {
+        if (r.method != "POST") return wrong(405, "wrong method");
+        double begun = timers_.now();
+        return users_.submit(r.body, [this, begun, reply](http::Response a) {
+            metrics_.submit_took(timers_.now() - begun);
+            metrics_.request("submit", a.status);
+            reply(std::move(a));
+        });
+    }
+    if (rest[0] != '/') return wrong(404, "no such path");
+    rest.erase(0, 1);
+    auto counted = [this, reply](const char* route) {
+        return [this, reply, route](http::Response a) {
+            metrics_.request(route, a.status);
+            reply(std::move(a));
+        };
+    };
+    if (rest.ends_with(paths::cancel)) {
+        if (r.method != "POST") return wrong(405, "wrong method");
+        return users_.cancel(rest.substr(0, rest.size() - paths::cancel.size()), counted("cancel"));
+    }
+    if (rest.empty() || rest.find('/') != std::string::npos) return wrong(404, "no such path");
+    if (r.method != "GET") return wrong(405, "wrong method");
+    users_.query(rest, counted("query"));
+}
+
+void Controller::hello(const std::string& body, http::Reply reply) {
+    wire::Report report;
+    try {
+        report = wire::parse_report(body);
+    } catch (const wire::Malformed& m) {
+        spdlog::info("report: {}", m.what());
+        return reply({400, wire::error_body(m.what())});
+    }
+    if (leader_) return leader_->hello(std::move(report), std::move(reply));
+    auto* peer = leading_peer();
+    reply({421, wire::report_elsewhere(peer ? peer->label : "")});
+}
+
+const config::Peer* Controller::leading_peer() const {
+    auto it = peers_.find(election_.leader());
+    return it == peers_.end() ? nullptr : &it->second.peer;
+}
+
+void Controller::counts(const std::string& id, std::function<void(std::optional<api::TaskCounts>)> done) {
+    if (leader_) return done(leader_->counts(id));
+    auto* peer = leading_peer();
+    if (!peer) return done(std::nullopt);
+    http_.send(peer->addr,
+               {"POST", std::string(wire::peer_job_path), wire::pack_peer(wire::PeerJobQuery{id}),
+                "application/msgpack"},
+               settings_.report_s * counts_reports, [done](std::optional<http::Response> r) {
+                   if (r && r->status == 200)
+                       if (auto c = wire::unpack_peer<wire::PeerJobCounts>(r->body); c && c->known)
+                           return done(api::TaskCounts{c->done, c->running});
+                   done(std::nullopt);
+               });
+}
+
+// The leader watches the jobs; being told as well gets the tasks stopped at once, and during an outage of the
+// state service that begins right now.
+void Controller::cancelled(const std::string& id, std::uint64_t version) {
+    if (leader_) return leader_->cancelled(id, version);
+    auto body = wire::pack_peer(wire::PeerCancelled{id, version});
+    for (auto& [label, p] : peers_)
+        http_.send(p.peer.addr, {"POST", std::string(wire::peer_cancelled_path), body, "application/msgpack"},
+                   settings_.report_s, [](std::optional<http::Response>) {});
+}
+
+void Controller::serve_peer(http::Request r, http::Reply reply) {
+    if (r.method != "POST") return reply({405, {}});
+    if (r.target == wire::peer_ping_path) {
+        if (auto p = wire::unpack_peer<wire::PeerPing>(r.body)) {
+            heard_ping(*p);
+            return reply(packed(wire::pack_peer(own_ping())));
+        }
+    } else if (r.target == wire::peer_job_path) {
+        if (auto q = wire::unpack_peer<wire::PeerJobQuery>(r.body)) {
+            auto c = leader_ ? leader_->counts(q->id) : std::nullopt;
+            return reply(packed(wire::pack_peer(wire::PeerJobCounts{c.has_value(), c ? c->done : 0, c ? c->running : 0})));
+        }
+    } else if (r.target == wire::peer_cancelled_path) {
+        if (auto q = wire::unpack_peer<wire::PeerCancelled>(r.body)) {
+            if (leader_) leader_->cancelled(q->id, q->version);
+            return reply(packed({}));
+        }
+    } else {
+        return reply({404, {}});
+    }
+    reply({400, {}});
+}
+
+}  // namespace coralhitch::daemon
--- /dev/null
+++ b/src/daemon/controller.hpp
@@ -0,0 +1,69 @@
+// One controller: its interfaces, its part in the election, and the leader's work while it leads.
+#pragma once
+#include <map>
+#include <memory>
+#include <random>
+
+#include "api/users.hpp"
+#include "daemon/leader.hpp"
+#include "wire/peer.hpp"
+
+namespace coralhitch::daemon {
+
+class Controller : public api::Surroundings {
+  public:
+    Controller(loop::Timers& timers, http::Requester& http, const config::Settings& settings, Planner& planner,
+               std::uint64_t seed);
+    ~Controller() override;
+    void start();
+    void serve(http::Request request, http::Reply reply);       // users, workers, health, metrics
+    void serve_peer(http::Request request, http::Reply reply);  // the other controllers
+
+    bool leads() const { return leader_ != nullptr; }
+    bool healthy() const;
+
+    const std::vector<wire::MachineType>& types() const override { return types_; }
+    void counts(const std::string& id, std::function<void(std::optional<api::TaskCounts>)> done) override;
+    void cancelled(const std::string& id, std::uint64_t version) override;
+
+  private:
+    struct PeerState {
+        config::Peer peer;
+        wire::PeerPing last;
+        double heard = -1;
+    };
+    void jobs_route(const http::Request& r, const std::string& path, http::Reply reply);
+    void hello(const std::string& body, http::Reply reply);
+    void won(std::uint64_t version);
+    void lost();
+    void ping_peers();
+    void check_state();
+    void heard_ping(const wire::PeerPing& p);
+    wire::PeerPing own_ping() const;
+    bool give_way();
+    bool state_ok() const;
+    void learn_types();
+    void set_types(std::vector<wire::MachineType> types);
+    void store_types();
+    const config::Peer* leading_peer() const;
+
+    loop::Timers& timers_;
+    http::Requester& http_;
+    const config::Settings& settings_;
+    Planner& planner_;
+    std::mt19937_64 random_;
+    std::uint64_t incarnation_;
+    Metrics metrics_;
+    state::Client state_;
+    state::Election election_;
+    cloud::Client cloud_;
+    api::Users users_;
+    std::vector<wire::MachineType> types_;
+    std::string stored_types_;
+    std::map<std::string, PeerState> peers_;
+    std::shared_ptr<Leader> leader_;
+    double last_resigned_ = -1;
+    bool state_seen_ = false;
+};
+
+}  // namespace coralhitch::daemon
--- /dev/null
+++ b/src/daemon/leader.hpp
@@ -0,0 +1,144 @@
+// What the controller does while it leads: loads the jobs, settles the machines, places, stores, fences, rents.
+// One object per leadership; it is dropped when leadership ends, and answers that come later find it gone.
+#pragma once
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+
+#include "api/users.hpp"
+#include "capacity/capacity.hpp"
+#include "cloud/client.hpp"
+#include "daemon/metrics.hpp"
+#include "daemon/planner.hpp"
+#include "fleet/picture.hpp"
+#include "jobs/table.hpp"
+#include "placement/placement.hpp"
+#include "state/election.hpp"
+
+namespace coralhitch::daemon {
+
+struct Context {
+    loop::Timers& timers;
+    http::Requester& http;
+    const config::Settings& settings;
+    state::Client& state;
+    state::Election& election;
+    cloud::Client& cloud;
+    Planner& planner;
+    Metrics& metrics;
+    const std::vector<wire::MachineType>& types;
+    std::function<bool()> give_way;  // whether another controller could lead instead; noted if so
+};
+
+class Leader : public std::enable_shared_from_this<Leader> {
+  public:
+    Leader(Context context, std::uint64_t version, std::uint64_t seed);
+    void start();
+    void stop();
+
+    void hello(wire::Report report, http::Reply reply);
+    std::optional<api::TaskCounts> counts(const std::string& id);
+    void types_changed();
+    void cancelled(const std::string& id, std::uint64_t version);
+    // How long after its authority has run out a leader goes on renewing workers' leases, without commands.
+    static double keep_alive_s(const config::Settings& s, double ttl);
+
+  private:
+    struct Rental {
+        capacity::Pool pool;
+        int count = 0;
+        bool asking = false;
+    };
+    template <class F>
+    auto guarded(F f) {
+        return [weak = weak_from_this(), f = std::move(f)](auto&&... a) mutable {
+            if (auto self = weak.lock(); self && !self->stopped_) f(std::forward<decltype(a)>(a)...);
+        };
+    }
+    double now() const { return c_.timers.now(); }
+    bool authority() const { return !stopped_ && c_.election.authority(); }
+    void load();
+    void take_all(const state::Listed& jobs, const state::Listed& progress, const state::Listed& machines);
+    void loaded();
+    void retry_load();
+    void watch_jobs(std::uint64_t since);
+    void reread_jobs();
+    void take_job(const std::string& id, std::uint64_t version, const std::string& value);
+    void tick();
+
+    // machines
+    fleet::Heard hear(const wire::Report& r, fleet::Via via);
+    void flush_all();
+    void flush(fleet::Machine& m);
+    void probe(fleet::Machine& m);
+    void send_direct(fleet::Machine& m, std::vector<wire::Command> commands);
+    void handle_end(const fleet::End& e);
+    void handle_found(const wire::TaskId& task, const std::string& machine);
+    void task_error(jobs::Entry& e, const fleet::End& end);
+    void stop_active(const std::string& id, jobs::Entry& e, double grace_s);
+    void check_machine(fleet::Machine& m, bool fence);
+    void check_machines();
+    void condemn(fleet::Machine& m, const char* why);
+    void store_condemned(const std::string& id);
+    void settled_check();
+    void store_machines();
+    void delete_condemned();
+    void drop_keys();
+    void list_hosts();
+    void heed_notice(fleet::Machine& m);
+    bool all_settled() const;
+
+    // jobs
+    void store_progress();
+    void finish(const std::string& id, jobs::Entry& e, wire::JobState state);
+    void store_blocks(const std::string& id, jobs::Entry& e);
+    void stored_failed(const std::string& id, const state::Committed& c);
+    wire::Txn leader_txn() const;
+
+    // plans
+    void plan_soon();
+    void plan();
+    struct Plan {
+        placement::Input in;
+        placement::Decisions out;
+        capacity::Input fleet;  // all but the machines, which the planner fills in
+        capacity::Decisions capacity;
+        bool with_capacity = false;
+        double took = 0;
+    };
+    placement::Input snapshot();
+    capacity::Input rentals() const;
+    void fill_capacity(Plan& p);
+    void apply(Plan& p);
+    void apply_starts(Plan& p, std::set<std::string>& touched);
+    bool may_start(jobs::Entry& e, std::uint32_t task, fleet::Machine& m, const std::map<std::string, int>& zones);
+    void rent(const capacity::Rent& r);
+    void ask_rental(const std::string& name);
+    std::map<std::string, int> zones_of(const jobs::Entry& e);
+    std::map<std::string, wire::Room> team_used();
+
+    Context c_;
+    std::uint64_t version_;
+    std::mt19937_64 random_;
+    double keep_alive_, started_ = 0;
+    bool stopped_ = false, loaded_ = false, was_settled_ = false;
+
+    std::mutex mutex_;  // guards the picture and the table: the planner reads them
+    fleet::Picture picture_;
+    jobs::Table table_;
+
+    std::deque<std::pair<wire::Report, http::Reply>> early_;  // reports that came before the jobs were loaded
+    std::uint64_t attempts_ = 0, rentals_made_ = 0;
+    std::map<std::string, Rental> rentals_;
+    std::map<capacity::Pool, double> refused_;  // until when
+    std::set<std::string> keys_to_drop_;
+    bool dropping_ = false, storing_machines_ = false, listing_ = false, removing_ = false;
+    bool planning_ = false, plan_wanted_ = false;
+    double last_plan_ = -1, last_capacity_ = -1, last_list_ = -1, remove_retry_ = 0;
+    bool listed_once_ = false;
+    loop::TimerId tick_timer_ = 0;
+};
+
+}  // namespace coralhitch::daemon
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,83 @@
+#include <signal.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+#include <sys/resource.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+#include "config/settings.hpp"
+#include "daemon/controller.hpp"
+#include "daemon/version.hpp"
+#include "http/client.hpp"
+#include "http/server.hpp"
+
+namespace {
+using namespace coralhitch;
+
+void set_up_log() {
+
+    auto log = std::make_shared<spdlog::logger>("", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    log->set_pattern("%H:%M:%S.%e %l %v");
+    const char* level = std::getenv("LOG_LEVEL");
+    std::string name = level ? level : "info";
+    log->set_level(name == "error" ? spdlog::level::err : name == "debug" ? spdlog::level::debug : spdlog::level::info);
+    spdlog::set_default_logger(log);
+}
+
+// Sockets are shared out by ratio: users and workers take most, the rest serves our own requests.
+http::ServerLimits server_limits(const config::Settings& s, double share) {
+    http::ServerLimits l;
+    l.connections = static_cast<std::size_t>(s.sockets * share);
+    return l;
+}
+
+int serve(const config::Settings& settings) {
+    ::signal(SIGPIPE, SIG_IGN);
+    loop::Loop loop;
+    http::ClientLimits client_limits;
+    client_limits.connections = static_cast<std::size_t>(settings.sockets * 0.3);
+    client_limits.response = static_cast<std::size_t>(settings.memory_mb * 1024 * 1024 / 8);
+    http::Client client(loop, client_limits);
+    daemon::ThreadPlanner planner(loop);
+    std::random_device device;
+    std::uint64_t seed = (std::uint64_t{device()} << 32) ^ device();
+    daemon::Controller controller(loop, client, settings, planner, seed);
+    http::Server users(loop, settings.listen, server_limits(settings, 0.6),
+                       [&](http::Request r, http::Reply reply) { controller.serve(std::move(r), std::move(reply)); });
+    http::Server peers(loop, settings.peer_listen, server_limits(settings, 0.05),
+                       [&](http::Request r, http::Reply reply) {
+                           controller.serve_peer(std::move(r), std::move(reply));
+                       });
+    spdlog::info("{} of {}: listening on {}", settings.label, settings.zone, settings.listen);
+    controller.start();
+    loop.run();
+    return 0;
+}
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app("coralhitch: a cluster scheduler");
+    std::string file, operator_file;
+    bool check = false;
+    app.add_option("--config", file, "the platform's settings (TOML)")->required();
+    app.add_option("--operator", operator_file, "operators' own settings (protobuf text format)");
+    app.add_flag("--check", check, "check the settings and exit");
+    app.set_version_flag("--version", std::string(coralhitch::daemon::version));
+    CLI11_PARSE(app, argc, argv);
+    set_up_log();
+    try {
+        auto settings = coralhitch::config::load_settings(file);
+        if (!operator_file.empty()) settings.op = coralhitch::config::load_operator(operator_file);
+        if (check) {
+            std::cout << "settings are fine\n";
+            return 0;
+        }
+        return serve(settings);
+    } catch (const std::exception& e) {
+        std::cerr << "coralhitch: " << e.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/fleet/picture.cpp
@@ -0,0 +1,273 @@
+#include "fleet/picture.hpp"
+
+#include <algorithm>
+
+namespace coralhitch::fleet {
+using wire::Cause;
+using wire::Command;
+using wire::Op;
+using wire::TaskState;
+
+wire::Room Machine::free() const {
+    wire::Room room = total;
+    for (auto& [id, t] : tasks)
+        if (t.spec) room -= t.spec->need;
+    return room;
+}
+bool Machine::has_unknown() const {
+    return std::any_of(tasks.begin(), tasks.end(), [](auto& t) { return !t.second.spec; });
+}
+
+Picture::Picture(std::uint64_t version, const std::vector<wire::MachineType>& types) : base_(version << token_bits) {
+    set_types(types);
+}
+void Picture::set_types(const std::vector<wire::MachineType>& types) {
+    for (auto& t : types) rooms_[t.name] = t.room;
+    for (auto& [id, m] : machines_)
+        if (auto it = rooms_.find(m.type); it != rooms_.end()) m.total = it->second;
+}
+Machine* Picture::find(const std::string& id) {
+    auto it = machines_.find(id);
+    return it == machines_.end() ? nullptr : &it->second;
+}
+Machine& Picture::add(const std::string& id, const std::string& addr, const std::string& type,
+                      const std::string& zone, bool spot, Machine::Life life, double now) {
+    auto [it, fresh] = machines_.try_emplace(id);
+    auto& m = it->second;
+    if (fresh) {
+        m.id = id;
+        m.token = base_;
+        m.created = m.last_heard = m.idle_since = m.renewed = now;
+        m.life = life;
+        m.addr = addr;
+        m.type = type;
+        m.zone = zone;
+        m.spot = spot;
+        if (auto r = rooms_.find(type); r != rooms_.end()) m.total = r->second;
+    }
+    return m;
+}
+
+std::vector<End> Picture::vanish_all(Machine& m) {
+    std::vector<End> ends;
+    for (auto& [id, t] : m.tasks)
+        ends.push_back({m.id, id, t.attempt, false, t.stray, Cause::none, false, t.running_since >= 0});
+    m.tasks.clear();
+    m.ended.clear();
+    return ends;
+}
+
+Heard Picture::hear(const wire::Report& r, Via via, double now, const Lookup& lookup) {
+    Heard heard;
+    // A machine once deleted stays gone; what still arrives from it was under way.
+    if (is_gone(r.machine)) {
+        heard.gone = true;
+        return heard;
+    }
+    auto& m = add(r.machine, r.addr, r.type, r.zone, r.spot, Machine::Life::up, now);
+    if (r.token >= base_ + (1ull << token_bits)) {
+        heard.deposed = true;
+        return heard;
+    }
+    // Reports may arrive late; the larger (session, sequence) is the newer one, an older one changes nothing.
+    if (std::pair(r.session, r.sequence) <= std::pair(m.session, m.sequence)) {
+        // A direct answer may overtake a report; the worker still waits for the report's answer.
+        heard.current = r.session == m.session;
+        if (heard.current && via == Via::hello) m.hello_sequence = std::max(m.hello_sequence, r.sequence);
+        return heard;
+    }
+    heard.fresh = heard.current = true;
+    if (r.session > m.session) {
+        // Proof: a worker that moves on to a new session has killed and forgotten all tasks of the old one.
+        // Commands under way for the old session are refused by the worker.
+        heard.ends = vanish_all(m);
+        m.hello_sequence = 0;
+    }
+    m.session = r.session;
+    m.sequence = r.sequence;
+    if (via == Via::hello) m.hello_sequence = r.sequence;
+    m.helm = r.token;
+    m.addr = r.addr;
+    m.last_heard = now;
+    m.probes = 0;
+    if (m.life == Machine::Life::booting) m.life = Machine::Life::up;
+    if (r.notice_s) {
+        if (m.notice_until < 0) m.notice_until = now + *r.notice_s;
+    } else {
+        m.notice_until = -1;
+    }
+    // From a report under this leader's token on, the worker drops all commands of earlier leaders, so what
+    // the report shows is all there is.
+    if (r.token >= base_) m.settled = true;
+
+    std::set<std::pair<wire::TaskId, std::uint64_t>> shown_ended;
+    std::set<wire::TaskId> shown;
+    for (auto& t : r.tasks) {
+        auto it = m.tasks.find(t.task);
+        bool match = it != m.tasks.end() && it->second.attempt == t.attempt;
+        if (t.state == TaskState::exited) {
+            auto key = std::pair(t.task, t.attempt);
+            shown_ended.insert(key);
+            if (m.ended.contains(key)) continue;
+            Ended e{t.attempt, 0, 0, 0, false};
+            bool started = false, stray = false;
+            if (match) {
+                // Proof: the worker says that this attempt has exited.
+                e.unsure_token = it->second.unsure_token;
+                e.answer_sequence = it->second.answer_sequence;
+                e.direct = it->second.direct;
+                started = it->second.running_since >= 0;
+                stray = it->second.stray;
+                m.tasks.erase(it);
+            }
+            if (t.cause != Cause::done) e.stored = true;  // nothing to store for other ends
+            m.ended.emplace(key, e);
+            heard.ends.push_back({m.id, t.task, t.attempt, true, stray, t.cause, t.saved, started});
+            continue;
+        }
+        shown.insert(t.task);
+        if (it == m.tasks.end()) {
+            Instance i;
+            i.spec = lookup(t.task.job);
+            i.attempt = t.attempt;
+            i.placed = now;
+            it = m.tasks.emplace(t.task, std::move(i)).first;
+            heard.found.emplace_back(t.task, m.id);
+        } else if (!match) {
+            // Another attempt than the one on record is there; the one shown is what holds the place.
+            it->second.attempt = t.attempt;
+        }
+        auto& i = it->second;
+        i.seen = true;
+        i.state = t.state;
+        if (i.spec && t.state != TaskState::fetching) m.images.insert(i.spec->image);
+        if (t.state != TaskState::fetching && t.state != TaskState::waiting && i.running_since < 0)
+            i.running_since = now;
+    }
+    for (auto it = m.tasks.begin(); it != m.tasks.end();) {
+        auto& i = it->second;
+        bool unsent = !i.seen && i.run_token == 0;
+        if (shown.contains(it->first) || (unsent && !i.stop)) {
+            ++it;
+            continue;
+        }
+        if (r.token > i.run_token) {
+            // Proof: not on the machine, and every `run` for it went out under a token that the worker now
+            // drops.
+            heard.ends.push_back(
+                {m.id, it->first, i.attempt, false, i.stray, Cause::none, false, i.running_since >= 0});
+            it = m.tasks.erase(it);
+            continue;
+        }
+        // Not shown is no proof while a `run` may still arrive. One that is not wanted any more, or that was
+        // there before, is fenced with a higher token; one that is wanted is sent again.
+        if ((i.stop || i.seen) && m.token <= i.run_token) m.token = i.run_token + 1;
+        ++it;
+    }
+    std::erase_if(m.ended, [&](auto& e) { return !shown_ended.contains(e.first) && e.second.stored; });
+    if (!m.tasks.empty()) m.idle_since = now;
+    return heard;
+}
+
+// `clear` makes the worker forget an attempt, so a `run` of it that arrives afterwards would start it again.
+// An unanswered direct `run` may arrive minutes late: only a higher token, seen by the worker, stops it.
+void Picture::fence_unsure(Machine& m) {
+    for (auto& [key, e] : m.ended)
+        if (e.stored && e.direct == 0 && e.unsure_token >= m.token) m.token = e.unsure_token + 1;
+}
+
+std::vector<Command> Picture::answer(Machine& m, double now, bool authority) {
+    std::vector<Command> out;
+    fence_unsure(m);
+    bool ours = authority && m.settled && m.life == Machine::Life::up;
+    for (auto& [id, i] : m.tasks) {
+        if (i.stop || !i.spec) {
+            if (i.seen && (i.state != TaskState::saving || i.grace_s <= 0)) {
+                out.push_back({Op::stop, id, i.attempt, i.spec ? i.grace_s : 0});
+                if (i.stop_sent < 0) i.stop_sent = now;
+            }
+        } else if (!i.seen && i.ready && ours && i.run_token > 0) {
+            out.push_back({Op::start, id, i.attempt, 0});
+            i.run_token = m.token;
+            i.answer_sequence = m.hello_sequence;
+        }
+    }
+    for (auto& [key, e] : m.ended) {
+        // An earlier answer with this `run` is executed or dropped once a later report has come in.
+        bool fenced = e.direct == 0 && m.helm > e.unsure_token && m.hello_sequence > e.answer_sequence;
+        if (e.stored && fenced && ours) out.push_back({Op::forget, key.first, key.second, 0});
+    }
+    return out;
+}
+
+std::vector<Command> Picture::direct_now(Machine& m, double now, bool authority) {
+    authority = authority && m.settled && m.life == Machine::Life::up;
+    std::vector<Command> out;
+    for (auto& [id, i] : m.tasks) {
+        if (i.stop) {
+            if (i.stop_sent >= 0) continue;
+            out.push_back({Op::stop, id, i.attempt, i.grace_s});
+            i.stop_sent = now;
+        } else if (i.spec && i.ready && !i.seen && i.run_token == 0 && authority) {
+            out.push_back({Op::start, id, i.attempt, 0});
+            i.run_token = m.token;
+            ++i.direct;
+        }
+    }
+    return out;
+}
+
+void Picture::direct_done(Machine& m, const std::vector<Command>& commands, std::uint64_t token, bool answered) {
+    auto settle = [&](auto& x) {
+        --x.direct;
+        if (!answered) x.unsure_token = std::max(x.unsure_token, token);
+    };
+    for (auto& c : commands) {
+        if (c.op != Op::start) continue;
+        if (auto it = m.tasks.find(c.task); it != m.tasks.end() && it->second.attempt == c.attempt)
+            settle(it->second);
+        else if (auto e = m.ended.find({c.task, c.attempt}); e != m.ended.end())
+            settle(e->second);
+    }
+}
+
+Instance& Picture::place(Machine& m, const wire::TaskId& task, Spec spec, std::uint64_t attempt, double now) {
+    auto& i = m.tasks[task];
+    i = Instance{};
+    i.spec = std::move(spec);
+    i.attempt = attempt;
+    i.placed = now;
+    i.ready = m.stored;
+    m.idle_since = now;
+    return i;
+}
+void Picture::stop(Machine& m, const wire::TaskId& task, double grace_s) {
+    auto it = m.tasks.find(task);
+    if (it == m.tasks.end()) return;
+    auto& i = it->second;
+    if (i.stop && i.grace_s <= grace_s) return;
+    i.stop = true;
+    i.grace_s = grace_s;
+    i.stop_sent = -1;
+    if (!i.seen && m.token <= i.run_token) m.token = i.run_token + 1;
+}
+void Picture::stored(const std::string& job, const std::set<std::uint32_t>& tasks) {
+    for (auto& [id, m] : machines_)
+        for (auto& [key, e] : m.ended)
+            if (key.first.job == job && (tasks.empty() || tasks.contains(key.first.index))) e.stored = true;
+}
+std::vector<End> Picture::removed(const std::string& id) {
+    auto it = machines_.find(id);
+    if (it == machines_.end()) return {};
+    auto ends = vanish_all(it->second);
+    machines_.erase(it);
+    gone_.insert(id);
+    return ends;
+}
+std::vector<End> Picture::lease_out(Machine& m) {
+    auto ends = vanish_all(m);
+    m.settled = true;
+    return ends;
+}
+
+}  // namespace coralhitch::fleet
--- /dev/null
+++ b/src/fleet/picture.hpp
@@ -0,0 +1,135 @@
+// The leader's picture of the machines: what is on each, as proven by reports, plus what was sent since.
+// Bookkeeping only: no I/O, no clock of its own.
+//
+// The one question that matters here is "is this task surely gone from this machine?". A place is given
+// free only on proof; every branch that takes an instance away names its proof.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "wire/model.hpp"
+
+namespace coralhitch::fleet {
+
+using Spec = std::shared_ptr<const wire::Job>;
+using Lookup = std::function<Spec(const std::string& job)>;
+
+struct Instance {
+    Spec spec;  // null: a job nobody knows (any more); it is stopped, and its machine gets nothing new
+    std::uint64_t attempt = 0;
+    wire::TaskState state = wire::TaskState::fetching;
+    bool seen = false;   // a report showed it
+    bool ready = true;   // its machine is stored, so `run` may be sent
+    bool stop = false;
+    bool stray = false;  // a second instance of a task: never wanted, still counted
+    double grace_s = 0, placed = 0, running_since = -1, stop_sent = -1;
+    std::uint64_t run_token = 0;     // highest token a `run` went out under
+    std::uint64_t unsure_token = 0;  // highest token of a direct `run` that got no answer
+    std::uint64_t answer_sequence = 0;  // the report whose answer carried the last `run`
+    int direct = 0;                     // direct `run`s under way
+};
+
+// An exited task that the worker still reports.
+struct Ended {
+    std::uint64_t attempt = 0, unsure_token = 0, answer_sequence = 0;
+    int direct = 0;
+    bool stored = false;  // what it means for the job is stored, so the worker may forget it
+};
+
+struct Machine {
+    std::string id, addr, type, zone;
+    bool spot = false;
+    wire::Room total;
+    enum class Life { booting, up, condemned } life = Life::booting;
+    bool stored = false, storing = false;  // its key at the state service
+    bool settled = false;                  // what is on it is known to this leader
+    bool deletable = false;                // condemned, and stored as such: the deletion may be asked for
+    bool deleting = false;
+    std::uint64_t session = 0, sequence = 0, hello_sequence = 0, helm = 0, token = 0;
+    double created = 0, last_heard = 0, last_probe = -1, idle_since = 0;
+    double renewed = 0;  // last moment at which a controller may have renewed the worker's lease
+    double notice_until = -1;
+    int probes = 0;
+    std::map<wire::TaskId, Instance> tasks;
+    std::map<std::pair<wire::TaskId, std::uint64_t>, Ended> ended;
+    std::set<std::string> images;
+    std::set<std::string> error_jobs;
+    double avoid_until = 0;
+
+    bool usable(double now) const {
+        return life == Life::up && settled && session > 0 && notice_until < 0 && now >= avoid_until;
+    }
+    wire::Room free() const;
+    bool has_unknown() const;
+};
+
+// A task that is proven gone from a machine.
+struct End {
+    std::string machine;
+    wire::TaskId task;
+    std::uint64_t attempt = 0;
+    bool reported = false;  // false: the machine, the session or the command is proven gone
+    bool stray = false;
+    wire::Cause cause = wire::Cause::none;
+    bool saved = false;
+    bool started = false;  // it had its image
+};
+
+enum class Via { hello, direct };
+
+struct Heard {
+    bool fresh = false;    // newer than what was known
+    bool current = false;  // of the machine's present session, so that it may be answered
+    bool deposed = false;  // the worker has seen the token of a later leader
+    bool gone = false;     // the machine is deleted: a late report
+    std::vector<End> ends;
+    std::vector<std::pair<wire::TaskId, std::string>> found;  // instances not known before, with their machine
+};
+
+class Picture {
+  public:
+    // Tokens of a leadership: its key's version above, a counter per machine below.
+    static constexpr int token_bits = 20;
+    Picture(std::uint64_t version, const std::vector<wire::MachineType>& types);
+
+    void set_types(const std::vector<wire::MachineType>& types);
+    Machine* find(const std::string& id);
+    Machine& add(const std::string& id, const std::string& addr, const std::string& type, const std::string& zone,
+                 bool spot, Machine::Life life, double now);
+    Heard hear(const wire::Report& r, Via via, double now, const Lookup& lookup);
+    // Commands for the answer to a report. Without authority only stops that were decided with it.
+    std::vector<wire::Command> answer(Machine& m, double now, bool authority);
+
+    // Direct commands: what to send now; mark them as under way; what became of them.
+    std::vector<wire::Command> direct_now(Machine& m, double now, bool authority);
+    void direct_done(Machine& m, const std::vector<wire::Command>& commands, std::uint64_t token, bool answered);
+
+    Instance& place(Machine& m, const wire::TaskId& task, Spec spec, std::uint64_t attempt, double now);
+    void stop(Machine& m, const wire::TaskId& task, double grace_s);
+    // What the ends of these tasks mean is stored; all tasks of the job if none are named.
+    void stored(const std::string& job, const std::set<std::uint32_t>& tasks = {});
+    // The deletion of the machine was answered: all on it is gone.
+    std::vector<End> removed(const std::string& id);
+    // The worker's lease is surely out: all on it is gone, the machine itself may come back with a new session.
+    std::vector<End> lease_out(Machine& m);
+    bool is_gone(const std::string& id) const { return gone_.contains(id); }
+
+    std::map<std::string, Machine>& machines() { return machines_; }
+    const std::map<std::string, Machine>& machines() const { return machines_; }
+    std::uint64_t base_token() const { return base_; }
+
+  private:
+    std::vector<End> vanish_all(Machine& m);
+    void fence_unsure(Machine& m);
+    std::uint64_t base_;
+    std::map<std::string, wire::Room> rooms_;
+    std::map<std::string, Machine> machines_;
+    std::unordered_set<std::string> gone_;
+};
+
+}  // namespace coralhitch::fleet
--- /dev/null
+++ b/src/http/address.hpp
@@ -0,0 +1,10 @@
+#pragma once
+#include <netinet/in.h>
+
+#include <optional>
+#include <string>
+
+namespace coralhitch::http {
+// "10.0.0.1:8080" as a socket address; there are no name look-ups.
+std::optional<sockaddr_in> socket_address(const std::string& addr);
+}  // namespace coralhitch::http
--- /dev/null
+++ b/src/http/client.hpp
@@ -0,0 +1,44 @@
+#pragma once
+#include <list>
+#include <unordered_map>
+
+#include "http/connection.hpp"
+#include "http/message.hpp"
+
+namespace coralhitch::http {
+
+struct ClientLimits {
+    std::size_t response = 8 * 1024 * 1024;
+    std::size_t connections = 500;  // above this, requests fail at once
+    std::size_t idle_per_addr = 4;
+    double idle_s = 60;
+};
+
+// Keeps connections open for reuse. One request is on a connection at a time.
+class Client : public Requester {
+  public:
+    Client(loop::Loop& loop, ClientLimits limits) : loop_(loop), limits_(limits) {}
+    ~Client() override;
+    void send(const std::string& addr, Request request, double timeout_s, Result result) override;
+
+  private:
+    struct Call {
+        std::string addr;
+        std::unique_ptr<Connection> connection;
+        Result result;
+        loop::TimerId timer = 0;
+        bool idle = false;
+    };
+    void on_event(std::uint64_t id, std::uint32_t events);
+    void finish(std::uint64_t id, std::optional<Response> r, bool reuse);
+    void drop(std::uint64_t id);
+    std::uint64_t take_idle(const std::string& addr);
+
+    loop::Loop& loop_;
+    ClientLimits limits_;
+    std::uint64_t next_ = 1;
+    std::unordered_map<std::uint64_t, Call> calls_;
+    std::unordered_map<std::string, std::list<std::uint64_t>> idle_;
+};
+
+}  // namespace coralhitch::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,139 @@
+#include "http/server.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <system_error>
+
+#include "http/address.hpp"
+
+namespace coralhitch::http {
+namespace {
+const char* reason(int status) {
+    switch (status) {
+        case 200: return "OK";
+        case 201: return "Created";
+        case 400: return "Bad Request";
+        case 404: return "Not Found";
+        case 405: return "Method Not Allowed";
+        case 413: return "Payload Too Large";
+        case 421: return "Misdirected Request";
+        case 422: return "Unprocessable Entity";
+        case 429: return "Too Many Requests";
+        case 503: return "Service Unavailable";
+        default: return "Unknown";
+    }
+}
+}  // namespace
+
+Server::Server(loop::Loop& loop, const std::string& addr, ServerLimits limits, Handler handler)
+    : loop_(loop),
+      limits_(limits),
+      handler_(std::move(handler)),
+      alive_(std::make_shared<Server*>(this)) {
+    auto sa = socket_address(addr);
+    listener_.reset(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    int on = 1;
+    ::setsockopt(listener_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (!sa || !listener_ || ::bind(listener_.get(), reinterpret_cast<sockaddr*>(&*sa), sizeof *sa) < 0 ||
+        ::listen(listener_.get(), 1024) < 0)
+        throw std::system_error(errno, std::generic_category(), "can't listen on " + addr);
+    loop_.watch(listener_.get(), EPOLLIN, [this](std::uint32_t) { accept_all(); });
+}
+Server::~Server() {
+    *alive_ = nullptr;
+    for (auto& [id, c] : clients_) loop_.cancel(c.timer);
+    loop_.unwatch(listener_.get());
+}
+
+void Server::accept_all() {
+    for (;;) {
+        loop::Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        if (!fd) return;  // EAGAIN, or out of descriptors: the next event tries again
+        if (clients_.size() >= limits_.connections) continue;  // shed: closed at once, others are not disturbed
+        int on = 1;
+        ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        auto id = next_++;
+        auto& c = clients_[id];
+        c.connection = std::make_unique<Connection>(loop_, std::move(fd), HTTP_REQUEST, limits_.message);
+        c.connection->listen_events([this, id](std::uint32_t e) { on_event(id, e); }, false);
+        arm(id, c, limits_.idle_s);
+    }
+}
+void Server::arm(std::uint64_t id, Client& c, double seconds) {
+    loop_.cancel(c.timer);
+    c.timer = loop_.after(seconds, [this, id] { close(id); });
+}
+void Server::close(std::uint64_t id) {
+    auto it = clients_.find(id);
+    if (it == clients_.end()) return;
+    loop_.cancel(it->second.timer);
+    clients_.erase(it);
+}
+void Server::on_event(std::uint64_t id, std::uint32_t events) {
+    auto it = clients_.find(id);
+    if (it == clients_.end()) return;
+    auto& c = it->second;
+    if (events & EPOLLOUT) {
+        if (c.connection->flush() != Connection::State::open) return close(id);
+        if (c.closing && !c.connection->pending()) return close(id);
+    }
+    if (!(events & (EPOLLIN | EPOLLHUP | EPOLLERR))) return;
+    if (c.busy || c.closing) {
+        // Readable while a request is being answered: the peer gave up, or breaks the protocol.
+        if (events & (EPOLLHUP | EPOLLERR)) return close(id);
+        char byte;
+        ssize_t n = ::recv(c.connection->fd(), &byte, 1, MSG_PEEK);
+        if (n >= 0 || (errno != EAGAIN && errno != EINTR)) close(id);
+        return;
+    }
+    switch (c.connection->read()) {
+        case Connection::State::closed: return close(id);
+        case Connection::State::bad: {
+            bool large = c.connection->incoming().too_large;
+            c.busy = true;
+            return answer(id, {large ? 413 : 400, "{}"}, false);
+        }
+        case Connection::State::open: break;
+    }
+    if (c.connection->incoming().complete) return serve(id);
+    if (!c.started) {
+        c.started = true;
+        arm(id, c, limits_.request_s);  // a slow sender holds its place for a bounded time
+    }
+}
+void Server::serve(std::uint64_t id) {
+    auto& c = clients_.at(id);
+    auto& in = c.connection->incoming();
+    Request r{std::move(in.method), std::move(in.target), std::move(in.body), std::move(in.type)};
+    bool keep = in.keep_alive;
+    c.busy = true;
+    arm(id, c, limits_.idle_s);
+    std::weak_ptr<Server*> alive = alive_;
+    handler_(std::move(r), [alive, id, keep](Response response) {
+        if (auto s = alive.lock(); s && *s) (*s)->answer(id, response, keep);
+    });
+}
+void Server::answer(std::uint64_t id, const Response& r, bool keep_alive) {
+    auto it = clients_.find(id);
+    if (it == clients_.end() || !it->second.busy) return;
+    auto& c = it->second;
+    std::string out = "HTTP/1.1 " + std::to_string(r.status) + " " + reason(r.status) +
+                      "\r\nContent-Type: " + r.type + "\r\nContent-Length: " + std::to_string(r.body.size());
+    if (r.retry_after_s > 0) out += "\r\nRetry-After: " + std::to_string(static_cast<int>(r.retry_after_s + 0.999));
+    if (!keep_alive) out += "\r\nConnection: close";
+    out += "\r\n\r\n";
+    out += r.body;
+    c.busy = false;
+    c.started = false;
+    c.closing = !keep_alive;
+    c.connection->next();
+    c.connection->write(std::move(out));
+    if (c.connection->flush() != Connection::State::open) return close(id);
+    if (c.closing && !c.connection->pending()) return close(id);
+    arm(id, c, limits_.idle_s);
+}
+
+}  // namespace coralhitch::http
--- /dev/null
+++ b/src/http/server.hpp
@@ -0,0 +1,45 @@
+#pragma once
+#include <unordered_map>
+
+#include "http/connection.hpp"
+#include "http/message.hpp"
+
+namespace coralhitch::http {
+
+struct ServerLimits {
+    Limits message;
+    std::size_t connections = 1000;
+    double request_s = 10;  // a request must be complete this long after its first byte
+    double idle_s = 120;
+};
+
+class Server {
+  public:
+    Server(loop::Loop& loop, const std::string& addr, ServerLimits limits, Handler handler);
+    ~Server();
+    std::size_t connections() const { return clients_.size(); }
+
+  private:
+    struct Client {
+        std::unique_ptr<Connection> connection;
+        loop::TimerId timer = 0;
+        bool busy = false, closing = false, started = false;
+    };
+    void accept_all();
+    void on_event(std::uint64_t id, std::uint32_t events);
+    void serve(std::uint64_t id);
+    void answer(std::uint64_t id, const Response& r, bool keep_alive);
+    void arm(std::uint64_t id, Client& c, double seconds);
+    void close(std::uint64_t id);
+
+    loop::Loop& loop_;
+    loop::Fd listener_;
+    ServerLimits limits_;
+    Handler handler_;
+    std::uint64_t next_ = 1;
+    std::unordered_map<std::uint64_t, Client> clients_;
+    // Answers may come after the server is gone; they look here first.
+    std::shared_ptr<Server*> alive_;
+};
+
+}  // namespace coralhitch::http
--- /dev/null
+++ b/src/loop/loop.cpp
@@ -0,0 +1,123 @@
+#include "loop/loop.hpp"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cmath>
+#include <system_error>
+
+namespace coralhitch::loop {
+namespace {
+double read_clock(clockid_t id) {
+    timespec t{};
+    clock_gettime(id, &t);
+    return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) * 1e-9;
+}
+[[noreturn]] void fail(const char* what) { throw std::system_error(errno, std::generic_category(), what); }
+}  // namespace
+
+void Fd::reset(int fd) {
+    if (fd_ >= 0) ::close(fd_);
+    fd_ = fd;
+}
+
+Loop::Loop() : epoll_(epoll_create1(EPOLL_CLOEXEC)), wake_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+    if (!epoll_) fail("epoll_create1");
+    if (!wake_) fail("eventfd");
+    refresh();
+    watch(wake_.get(), EPOLLIN, [this](std::uint32_t) {
+        std::uint64_t n;
+        while (::read(wake_.get(), &n, sizeof n) > 0) {
+        }
+    });
+}
+void Loop::refresh() { now_ = now(); }
+double Loop::now() const { return read_clock(CLOCK_MONOTONIC); }
+double Loop::unix_time() const { return read_clock(CLOCK_REALTIME); }
+
+TimerId Loop::after(double seconds, Task task) {
+    TimerId id = next_id_++;
+    double due = now() + std::max(0.0, seconds);
+    timers_.emplace(std::pair{due, id}, std::move(task));
+    due_.emplace(id, due);
+    return id;
+}
+void Loop::cancel(TimerId id) {
+    auto it = due_.find(id);
+    if (it == due_.end()) return;
+    timers_.erase({it->second, id});
+    due_.erase(it);
+}
+void Loop::watch(int fd, std::uint32_t events, Handler handler) {
+    auto w = std::make_shared<Watched>(Watched{std::move(handler), ++generation_});
+    epoll_event e{};
+    e.events = events;
+    e.data.fd = fd;
+    if (epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &e) < 0) fail("epoll_ctl add");
+    watched_[fd] = std::move(w);
+}
+void Loop::change(int fd, std::uint32_t events) {
+    epoll_event e{};
+    e.events = events;
+    e.data.fd = fd;
+    if (epoll_ctl(epoll_.get(), EPOLL_CTL_MOD, fd, &e) < 0) fail("epoll_ctl mod");
+}
+void Loop::unwatch(int fd) {
+    epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
+    watched_.erase(fd);
+}
+void Loop::post(Task task) {
+    {
+        std::lock_guard lock(mutex_);
+        posted_.push_back(std::move(task));
+    }
+    std::uint64_t one = 1;
+    [[maybe_unused]] auto n = ::write(wake_.get(), &one, sizeof one);
+}
+void Loop::run_posted() {
+    std::vector<Task> work;
+    {
+        std::lock_guard lock(mutex_);
+        work.swap(posted_);
+    }
+    for (auto& t : work) t();
+}
+void Loop::run_due() {
+    while (!timers_.empty() && timers_.begin()->first.first <= now_) {
+        auto node = timers_.extract(timers_.begin());
+        due_.erase(node.key().second);
+        node.mapped()();
+    }
+}
+void Loop::run() {
+    std::array<epoll_event, 128> events{};
+    while (!stopped_) {
+        int wait_ms = -1;
+        if (!timers_.empty()) {
+            refresh();
+            double left = timers_.begin()->first.first - now_;
+            wait_ms = left <= 0 ? 0 : static_cast<int>(std::min(std::ceil(left * 1000), 60000.0));
+        }
+        int n = epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), wait_ms);
+        if (n < 0 && errno != EINTR) fail("epoll_wait");
+        refresh();
+        // A handler may close a descriptor whose number is used again within this round; the generation
+        // tells an event of the old one from the new one's.
+        std::uint64_t round = generation_;
+        for (int i = 0; i < n; ++i) {
+            auto it = watched_.find(events[static_cast<std::size_t>(i)].data.fd);
+            if (it == watched_.end() || it->second->generation > round) continue;
+            auto keep = it->second;
+            keep->handler(events[static_cast<std::size_t>(i)].events);
+        }
+        run_posted();
+        refresh();
+        run_due();
+    }
+}
+
+}  // namespace coralhitch::loop
--- /dev/null
+++ b/src/placement/placement.hpp
@@ -0,0 +1,88 @@
+// What runs where: a pure function of the picture, the jobs and randomness.
+//
+// The ordinary path is the power of two choices (Mitzenmacher, "On the Analysis of Randomized Load Balancing
+// Schemes"): of two machines with room drawn at random, a task goes to the less loaded one.
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "config/settings.hpp"
+#include "wire/model.hpp"
+
+namespace coralhitch::placement {
+
+struct MachineView {
+    std::string id, type, zone;
+    bool spot = false, usable = false;
+    wire::Room total, free;
+    int tasks = 0;
+    std::set<std::string> images;
+    wire::Room soon;      // free, and what is being stopped
+    wire::Room reserved;  // of `soon`, kept for tasks that wait for places being emptied
+};
+struct InstanceView {
+    std::size_t job = 0, machine = 0;
+    std::uint32_t task = 0;
+    bool stopping = false, seen = false;
+    double placed = 0, running_since = -1;
+};
+struct JobView {
+    std::shared_ptr<const wire::Job> spec;
+    double submitted = 0;  // unix seconds
+    bool startable = true;  // not cancelled, not pausing, nothing unexplained
+    std::vector<std::uint32_t> waiting;
+    std::size_t open = 0;  // tasks not done
+    std::map<std::string, int> zones;  // where tasks may still be
+    int active = 0;
+    std::set<std::string> failed_on;
+};
+struct Input {
+    double now = 0, unix_now = 0;
+    std::vector<MachineView> machines;
+    std::vector<InstanceView> instances;
+    std::vector<JobView> jobs;
+    std::map<std::string, wire::Room> team_used;
+};
+struct Start {
+    std::size_t job = 0;
+    std::uint32_t task = 0;
+    std::size_t machine = 0;
+};
+struct Stop {
+    std::size_t instance = 0;
+    std::size_t for_job = 0;
+};
+struct Unplaced {
+    std::size_t job = 0, count = 0;
+};
+struct Counts {
+    std::uint64_t tasks = 0, draws = 0, redraws = 0, fallbacks = 0, packed = 0, preempted = 0;
+};
+struct Decisions {
+    std::vector<Start> starts;
+    std::vector<Stop> stops;
+    std::vector<Unplaced> unplaced;
+    Counts counts;
+};
+
+// Rules that hold for a single task, given where the job's other tasks are.
+bool type_allowed(const wire::Job& job, const std::string& type, const std::string& zone, bool spot);
+bool zone_allowed(const wire::Job& job, const std::map<std::string, int>& zones, const std::string& zone);
+bool team_allows(const config::Team& team, const wire::Room& used, const wire::Room& more);
+double grace_of(const wire::Job& job);
+// Two random choices among `n` machines: draws at random, skips those without room, and returns the one with the
+// least load; after some fruitless rounds, the first that has room.
+std::optional<std::size_t> draw(std::size_t n, const std::function<bool(std::size_t)>& has_room,
+                                const std::function<double(std::size_t)>& load, const config::Operator& op,
+                                std::mt19937_64& random, Counts& counts);
+
+Decisions plan(Input& in, const config::Settings& settings, std::mt19937_64& random);
+
+}  // namespace coralhitch::placement
--- /dev/null
+++ b/src/state/client.cpp
@@ -0,0 +1,216 @@
+#include "state/client.hpp"
+
+#include <algorithm>
+
+namespace coralhitch::state {
+using wire::Malformed;
+
+bool Committed::failed_on(const std::string& key) const {
+    return std::find(failed.begin(), failed.end(), key) != failed.end();
+}
+
+namespace {
+// Other controllers may still be spending their share while leadership moves, hence a little less than all.
+constexpr double budget_use = 0.9;
+// Calls that can't go out in time are refused, so that a queue can't grow without bound.
+constexpr double queue_report_periods = 1.0;
+}  // namespace
+
+Client::Client(loop::Timers& timers, http::Requester& http, const config::Settings& s)
+    : timers_(timers), http_(http), settings_(s), requests_(1, 1), writes_(1, 1) {
+    set_leading(false);
+}
+
+void Client::set_leading(bool leading) {
+    double share = settings_.nodes <= 1 ? 1.0 : leading ? 0.5 : 0.5 / (settings_.nodes - 1);
+    double requests = settings_.state_rps * share * budget_use;
+    double writes = settings_.state_write_rps * share * budget_use;
+    requests_.set_rate(requests, std::max(1.0, requests));
+    writes_.set_rate(writes, std::max(1.0, writes));
+}
+
+double Client::timeout() const { return settings_.report_s / 2; }
+
+void Client::submit(Rank rank, Call call) {
+    call.deadline = timers_.now() + settings_.report_s * queue_report_periods;
+    if (rank == Rank::lease) return send(std::move(call));
+    queues_[static_cast<std::size_t>(rank)].push_back(std::move(call));
+    pump();
+}
+
+void Client::pump() {
+    double now = timers_.now(), wait = -1;
+    for (auto& q : queues_) {
+        while (!q.empty()) {
+            auto& c = q.front();
+            if (c.deadline < now) {
+                auto result = std::move(c.result);
+                q.pop_front();
+                // Was never sent. Told later, since this may run inside somebody else's call.
+                timers_.after(0, [result = std::move(result)] { result(http::Response{429, "{}"}); });
+                continue;
+            }
+            if (!requests_.has(now) || !writes_.has(now, c.writes)) {
+                double w = std::max(requests_.wait(now), writes_.wait(now, c.writes));
+                wait = wait < 0 ? w : std::min(wait, w);
+                break;
+            }
+            auto call = std::move(c);
+            q.pop_front();
+            send(std::move(call));
+        }
+    }
+    if (wait >= 0 && !pump_armed_) {
+        pump_armed_ = true;
+        timers_.after(std::max(wait, 0.005), [this] {
+            pump_armed_ = false;
+            pump();
+        });
+    }
+}
+
+void Client::send(Call call) {
+    double now = timers_.now();
+    requests_.take(now);
+    if (call.writes > 0) writes_.take(now, call.writes);
+    http_.send(settings_.state_addr, std::move(call.request), call.timeout,
+               [this, result = std::move(call.result)](std::optional<http::Response> r) {
+                   bool ok = r && r->status < 500;
+                   answering_ = ok;
+                   if (ok) last_answer_ = timers_.now();
+                   result(std::move(r));
+               });
+}
+
+void Client::get(const std::string& key, Rank rank, std::function<void(Found)> done) {
+    submit(rank, {{"GET", wire::paths::kv(key), {}}, timeout(), 0, 0, [done](std::optional<http::Response> r) {
+                      Found f;
+                      try {
+                          if (r && r->status == 200) f = {true, wire::parse_entry(r->body)};
+                          if (r && r->status == 404) {
+                              wire::parse_revision(r->body);  // a 404 of the service itself, not of a wrong path
+                              f.ok = true;
+                          }
+                      } catch (const Malformed&) {
+                          f = {};
+                      }
+                      done(std::move(f));
+                  }});
+}
+
+void Client::list(const std::string& prefix, Rank rank, std::function<void(Listed)> done) {
+    list_page(prefix, rank, std::make_shared<Listed>(), "", std::move(done));
+}
+void Client::list_page(std::string prefix, Rank rank, std::shared_ptr<Listed> acc, std::string after,
+                       std::function<void(Listed)> done) {
+    constexpr int page = 500;
+    auto target = wire::paths::kv_list(prefix, after, page);
+    submit(rank, {{"GET", target, {}},
+                  timeout() * 2,
+                  0,
+                  0,
+                  [=, this](std::optional<http::Response> r) {
+                      try {
+                          if (!r || r->status != 200) return done({});
+                          auto p = wire::parse_entries(r->body);
+                          if (acc->revision == 0) acc->revision = p.revision;
+                          for (auto& e : p.entries) acc->entries.push_back(std::move(e));
+                          if (p.more && !acc->entries.empty()) {
+                              auto last = acc->entries.back().key;
+                              return list_page(prefix, rank, acc, last, done);
+                          }
+                          acc->ok = true;
+                          done(std::move(*acc));
+                      } catch (const Malformed&) {
+                          done({});
+                      }
+                  }});
+}
+
+void Client::txn(wire::Txn t, Rank rank, std::function<void(Committed)> done) {
+    double writes = static_cast<double>(t.changes.size());
+    submit(rank, {{"POST", std::string(wire::paths::txn), wire::txn_request(t)},
+                  timeout(),
+                  0,
+                  writes,
+                  [done](std::optional<http::Response> r) {
+                      Committed c;
+                      try {
+                          if (!r) {
+                              c.status = Committed::Status::unknown;
+                          } else if (r->status == 200) {
+                              c = {Committed::Status::committed, wire::parse_revision(r->body), {}};
+                          } else if (r->status == 409) {
+                              c = {Committed::Status::conflict, 0, wire::parse_conflict(r->body).failed};
+                          } else {
+                              c.status = Committed::Status::refused;
+                          }
+                      } catch (const Malformed&) {
+                          c.status = Committed::Status::unknown;
+                      }
+                      done(std::move(c));
+                  }});
+}
+
+void Client::watch(const std::string& prefix, std::uint64_t since, double wait_s,
+                   std::function<void(Watched)> done) {
+    auto wait_ms = static_cast<std::uint64_t>(wait_s * 1000);
+    submit(Rank::lease, {{"GET", wire::paths::watch(prefix, since, wait_ms), {}},
+                         wait_s + timeout() * 2,
+                         0,
+                         0,
+                         [done](std::optional<http::Response> r) {
+                             Watched w;
+                             try {
+                                 if (r && r->status == 200)
+                                     w = {Watched::Status::ok, wire::parse_events(r->body)};
+                                 else if (r && r->status == 410)
+                                     w.status = Watched::Status::too_old;
+                             } catch (const Malformed&) {
+                                 w = {};
+                             }
+                             done(std::move(w));
+                         }});
+}
+
+void Client::create_lease(double ttl_s, std::function<void(LeaseAnswer)> done) {
+    double sent = timers_.now();
+    submit(Rank::lease, {{"POST", std::string(wire::paths::leases),
+                          wire::lease_request(static_cast<std::uint64_t>(ttl_s * 1000))},
+                         timeout(),
+                         0,
+                         0,
+                         [done, sent](std::optional<http::Response> r) {
+                             LeaseAnswer a{LeaseAnswer::Status::failed, 0, sent};
+                             try {
+                                 if (r && r->status == 200)
+                                     a = {LeaseAnswer::Status::ok, wire::parse_lease(r->body), sent};
+                             } catch (const Malformed&) {
+                             }
+                             done(a);
+                         }});
+}
+void Client::renew_lease(std::uint64_t id, double timeout_s, std::function<void(LeaseAnswer)> done) {
+    double sent = timers_.now();
+    submit(Rank::lease, {{"POST", wire::paths::lease_renew(id), {}},
+                         timeout_s,
+                         0,
+                         0,
+                         [done, sent, id](std::optional<http::Response> r) {
+                             LeaseAnswer a{LeaseAnswer::Status::failed, id, sent};
+                             if (r && r->status == 200) a.status = LeaseAnswer::Status::ok;
+                             if (r && r->status == 404) a.status = LeaseAnswer::Status::gone;
+                             done(a);
+                         }});
+}
+void Client::end_lease(std::uint64_t id, std::function<void(bool)> done) {
+    submit(Rank::lease, {{"DELETE", wire::paths::lease(id), {}},
+                         timeout(),
+                         0,
+                         0,
+                         [done](std::optional<http::Response> r) {
+                             done(r && (r->status < 300 || r->status == 404));
+                         }});
+}
+
+}  // namespace coralhitch::state
--- /dev/null
+++ b/src/state/client.hpp
@@ -0,0 +1,88 @@
+// The state service as the controllers use it, within this controller's share of the request budget.
+#pragma once
+#include <array>
+#include <deque>
+#include <memory>
+
+#include "config/settings.hpp"
+#include "http/message.hpp"
+#include "loop/bucket.hpp"
+#include "loop/timers.hpp"
+#include "wire/protocol.hpp"
+
+namespace coralhitch::state {
+
+// Who goes first when the budget is short. Lease calls never wait.
+enum class Rank { lease, write, read, background };
+
+struct Found {
+    bool ok = false;  // false: not answered; nothing is known
+    std::optional<wire::Entry> entry;
+};
+struct Listed {
+    bool ok = false;
+    std::vector<wire::Entry> entries;
+    std::uint64_t revision = 0;  // of the first page: changes after it are found by watching from here
+};
+struct Watched {
+    enum class Status { ok, too_old, failed } status = Status::failed;
+    wire::Events events;
+};
+struct Committed {
+    enum class Status {
+        committed,
+        conflict,  // a condition failed; nothing was changed
+        refused,   // not executed
+        unknown    // may have been executed, or may still be: read, then decide
+    } status = Status::unknown;
+    std::uint64_t revision = 0;
+    std::vector<std::string> failed;
+    bool failed_on(const std::string& key) const;
+};
+struct LeaseAnswer {
+    enum class Status { ok, gone, failed } status = Status::failed;
+    std::uint64_t id = 0;
+    double sent = 0;  // steady time when the request went out
+};
+
+class Client {
+  public:
+    Client(loop::Timers& timers, http::Requester& http, const config::Settings& settings);
+
+    void get(const std::string& key, Rank rank, std::function<void(Found)> done);
+    void list(const std::string& prefix, Rank rank, std::function<void(Listed)> done);
+    void txn(wire::Txn t, Rank rank, std::function<void(Committed)> done);
+    void watch(const std::string& prefix, std::uint64_t since, double wait_s, std::function<void(Watched)> done);
+    void create_lease(double ttl_s, std::function<void(LeaseAnswer)> done);
+    void renew_lease(std::uint64_t id, double timeout_s, std::function<void(LeaseAnswer)> done);
+    void end_lease(std::uint64_t id, std::function<void(bool)> done);
+
+    // The leader writes most: it gets half of the budget, the others share the rest.
+    void set_leading(bool leading);
+    bool answering() const { return answering_; }
+    double last_answer() const { return last_answer_; }
+
+  private:
+    struct Call {
+        http::Request request;
+        double timeout = 0, deadline = 0, writes = 0;
+        http::Result result;
+    };
+    void submit(Rank rank, Call call);
+    void send(Call call);
+    void pump();
+    void list_page(std::string prefix, Rank rank, std::shared_ptr<Listed> acc, std::string after,
+                   std::function<void(Listed)> done);
+    double timeout() const;
+
+    loop::Timers& timers_;
+    http::Requester& http_;
+    const config::Settings& settings_;
+    loop::Bucket requests_, writes_;
+    std::array<std::deque<Call>, 4> queues_;
+    bool pump_armed_ = false;
+    bool answering_ = false;
+    double last_answer_ = -1;
+};
+
+}  // namespace coralhitch::state
--- /dev/null
+++ b/src/state/election.cpp
@@ -0,0 +1,195 @@
+#include "state/election.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "state/keys.hpp"
+
+namespace coralhitch::state {
+namespace {
+// Steady clocks of two machines drift apart by up to 0.05%; twice that, and a margin for the time between a
+// check of the clock and the act that follows it.
+constexpr double drift = 0.001;
+constexpr double margin_ratio = 1.0 / 20;
+constexpr double renewals_per_ttl = 4;
+}  // namespace
+
+Election::Election(loop::Timers& timers, Client& state, const config::Settings& settings, std::uint64_t incarnation,
+                   std::uint64_t seed)
+    : timers_(timers),
+      state_(state),
+      settings_(settings),
+      incarnation_(incarnation),
+      random_(static_cast<std::minstd_rand::result_type>(seed)),
+      ttl_(settings.lease_s * settings.op.lease_ratio) {}
+
+void Election::start(Events events) {
+    events_ = std::move(events);
+    look();
+}
+
+double Election::usable(double sent) const { return sent + ttl_ * (1 - drift - margin_ratio); }
+
+void Election::retry_look() {
+    std::uniform_real_distribution<double> jitter(0.5, 1.0);
+    timers_.after(ttl_ / 8 * jitter(random_), [this] { look(); });
+}
+
+void Election::saw(const wire::Entry& e) {
+    try {
+        auto r = wire::parse_leader_record(e.value);
+        if (e.version >= leader_version_ && (leader_ != r.label || leader_version_ != e.version)) {
+            leader_ = r.label;
+            leader_version_ = e.version;
+            spdlog::info("election: {} leads with version {}", leader_, leader_version_);
+            if (events_.changed) events_.changed();
+        }
+    } catch (const wire::Malformed& m) {
+        spdlog::error("election: leader record: {}", m.what());
+    }
+}
+
+// Reads the key, then either campaigns or follows it.
+void Election::look() {
+    if (role_ != Role::following) return;
+    state_.get(keys::leader, Rank::lease, [this](Found f) {
+        if (role_ != Role::following) return;
+        if (!f.ok) return retry_look();
+        if (!f.entry) {
+            leader_.clear();
+            if (timers_.now() < paused_until_) return retry_look();
+            return campaign();
+        }
+        saw(*f.entry);
+        try {
+            auto r = wire::parse_leader_record(f.entry->value);
+            // An earlier process of this controller held the key. It is dead, since this one runs in its place;
+            // what it sent and is still under way is fenced by token and condition.
+            if (r.label == settings_.label && r.incarnation != incarnation_ && f.entry->lease) {
+                spdlog::info("election: ending the lease of this controller's earlier process");
+                return state_.end_lease(f.entry->lease, [this](bool) { retry_look(); });
+            }
+        } catch (const wire::Malformed&) {
+        }
+        follow(f.entry->version);
+    });
+}
+
+void Election::follow(std::uint64_t revision) {
+    state_.watch(keys::leader, revision, ttl_, [this, revision](Watched w) {
+        if (role_ != Role::following) return;
+        if (w.status != Watched::Status::ok) return retry_look();
+        std::uint64_t next = std::max(revision, w.events.revision);
+        for (auto& e : w.events.events) {
+            if (e.key != keys::leader) continue;
+            return look();
+        }
+        follow(next);
+    });
+}
+
+void Election::campaign() {
+    role_ = Role::campaigning;
+    state_.create_lease(ttl_, [this](LeaseAnswer lease) {
+        if (role_ != Role::campaigning) return;
+        if (lease.status != LeaseAnswer::Status::ok) {
+            role_ = Role::following;
+            return retry_look();
+        }
+        claim(lease);
+    });
+}
+
+void Election::claim(LeaseAnswer lease) {
+    wire::Txn t;
+    t.conditions.push_back({keys::leader, 0});
+    t.changes.push_back({keys::leader, wire::stored(wire::LeaderRecord{settings_.label, incarnation_}), lease.id});
+    state_.txn(std::move(t), Rank::lease, [this, lease](Committed c) {
+        if (role_ != Role::campaigning) return;
+        if (c.status == Committed::Status::committed) return win(c.revision, lease);
+        if (c.status == Committed::Status::unknown) return check_claim(lease);
+        role_ = Role::following;
+        state_.end_lease(lease.id, [](bool) {});
+        if (c.status == Committed::Status::conflict) return look();
+        retry_look();
+    });
+}
+
+// The answer to the claim was lost. The key tells whether it was executed; while it may still be, the lease is
+// ended first, so that a late claim finds no lease.
+void Election::check_claim(LeaseAnswer lease) {
+    state_.get(keys::leader, Rank::lease, [this, lease](Found f) {
+        if (role_ != Role::campaigning) return;
+        if (f.ok && f.entry) {
+            try {
+                auto r = wire::parse_leader_record(f.entry->value);
+                if (r.incarnation == incarnation_ && f.entry->lease == lease.id) return win(f.entry->version, lease);
+            } catch (const wire::Malformed&) {
+            }
+        }
+        role_ = Role::following;
+        state_.end_lease(lease.id, [](bool) {});
+        retry_look();
+    });
+}
+
+void Election::win(std::uint64_t version, LeaseAnswer lease) {
+    role_ = Role::leading;
+    version_ = version;
+    lease_ = lease.id;
+    authority_until_ = usable(lease.sent);
+    leader_ = settings_.label;
+    leader_version_ = version;
+    ++round_;
+    state_.set_leading(true);
+    spdlog::info("election: won with version {}", version);
+    renew();
+    events_.won(version);
+}
+
+void Election::renew() {
+    auto round = round_;
+    state_.renew_lease(lease_, ttl_ / 3, [this, round](LeaseAnswer a) {
+        if (round != round_ || role_ != Role::leading) return;
+        if (a.status == LeaseAnswer::Status::gone) return lose();
+        bool ok = a.status == LeaseAnswer::Status::ok;
+        if (ok) authority_until_ = std::max(authority_until_, usable(a.sent));
+        double next = ok ? ttl_ / renewals_per_ttl : ttl_ / (renewals_per_ttl * 4);
+        timers_.after(next, [this, round] {
+            if (round == round_ && role_ == Role::leading) renew();
+        });
+    });
+}
+
+void Election::lose() {
+    if (role_ != Role::leading) return;
+    role_ = Role::following;
+    ++round_;
+    authority_until_ = 0;
+    leader_.clear();
+    state_.set_leading(false);
+    spdlog::info("election: leadership with version {} is lost", version_);
+    events_.lost();
+    look();
+}
+
+void Election::peer_says(const std::string& leader, std::uint64_t version) {
+    if (version <= leader_version_ || leader.empty()) return;
+    leader_ = leader;
+    leader_version_ = version;
+    // Versions only grow, so a newer leadership means that this one is over, whatever its lease says.
+    if (holding() && version > version_) {
+        lose();
+        leader_ = leader;
+    }
+    if (events_.changed) events_.changed();
+}
+
+void Election::resign(double pause_s) {
+    if (role_ != Role::leading) return;
+    paused_until_ = timers_.now() + pause_s;
+    auto id = lease_;
+    lose();
+    state_.end_lease(id, [](bool) {});
+}
+
+}  // namespace coralhitch::state
--- /dev/null
+++ b/src/state/election.hpp
@@ -0,0 +1,61 @@
+// Leadership: a key under a lease. The version of that key is the fencing token of everything the leader does.
+#pragma once
+#include <random>
+
+#include "state/client.hpp"
+
+namespace coralhitch::state {
+
+class Election {
+  public:
+    struct Events {
+        std::function<void(std::uint64_t version)> won;
+        std::function<void()> lost;
+        std::function<void()> changed;  // another leader is known, or none
+    };
+    Election(loop::Timers& timers, Client& state, const config::Settings& settings, std::uint64_t incarnation,
+             std::uint64_t seed);
+    void start(Events events);
+
+    bool holding() const { return role_ == Role::leading; }
+    // Whether acts are allowed right now. Asked at every act: a timer may fire late.
+    bool authority() const { return holding() && timers_.now() < authority_until_; }
+    double authority_until() const { return authority_until_; }
+    std::uint64_t version() const { return version_; }  // of the held key
+    double ttl() const { return ttl_; }
+
+    const std::string& leader() const { return leader_; }  // label, empty if unknown
+    std::uint64_t leader_version() const { return leader_version_; }
+    void peer_says(const std::string& leader, std::uint64_t version);
+
+    // Gives leadership up and stays out of elections for a while.
+    void resign(double pause_s);
+
+  private:
+    enum class Role { following, campaigning, leading };
+    void look();
+    void follow(std::uint64_t revision);
+    void campaign();
+    void claim(LeaseAnswer lease);
+    void check_claim(LeaseAnswer lease);
+    void win(std::uint64_t version, LeaseAnswer lease);
+    void renew();
+    void lose();
+    void retry_look();
+    void saw(const wire::Entry& e);
+    double usable(double sent) const;
+
+    loop::Timers& timers_;
+    Client& state_;
+    const config::Settings& settings_;
+    std::uint64_t incarnation_;
+    std::minstd_rand random_;
+    Events events_;
+    Role role_ = Role::following;
+    double ttl_, authority_until_ = 0, paused_until_ = 0;
+    std::uint64_t version_ = 0, lease_ = 0, round_ = 0;
+    std::string leader_;
+    std::uint64_t leader_version_ = 0;
+};
+
+}  // namespace coralhitch::state
--- /dev/null
+++ b/src/wire/model.hpp
@@ -0,0 +1,125 @@
+// Plain values that every package shares. The names used on the wire live in protocol.cpp only.
+#pragma once
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace coralhitch::wire {
+
+enum class Kind { array, gang, service };
+enum class Priority { low, normal, high, production };
+
+struct TaskId {
+    std::string job;
+    std::uint32_t index = 0;
+    auto operator<=>(const TaskId&) const = default;
+    std::string str() const { return job + "/" + std::to_string(index); }
+};
+
+struct Room {
+    double cpus = 0, gpus = 0, memory_gb = 0;
+    Room& operator+=(const Room& o) {
+        cpus += o.cpus, gpus += o.gpus, memory_gb += o.memory_gb;
+        return *this;
+    }
+    Room& operator-=(const Room& o) {
+        cpus -= o.cpus, gpus -= o.gpus, memory_gb -= o.memory_gb;
+        return *this;
+    }
+    Room times(double n) const { return {cpus * n, gpus * n, memory_gb * n}; }
+    // Sums of decimal amounts carry rounding; a task that fills a machine exactly still fits.
+    bool holds(const Room& need) const {
+        constexpr double slack = 1e-6;
+        return need.cpus <= cpus + slack && need.gpus <= gpus + slack && need.memory_gb <= memory_gb + slack;
+    }
+};
+
+struct Job {
+    std::string id, cls, team;
+    Kind kind = Kind::array;
+    Priority priority = Priority::normal;
+    std::uint32_t tasks = 1;
+    Room need;
+    std::string image;
+    double image_gb = 0;
+    std::optional<std::vector<std::string>> types;
+    std::optional<std::string> zone;
+    bool one_zone = false, spread = false, spot = false;
+    double estimate_s = 0, checkpoint_s = 0, save_s = 0;
+    std::optional<double> deadline_s;
+};
+
+enum class JobState { queued, running, done, cancelled };
+
+struct JobStatus {
+    std::string id;
+    JobState state = JobState::queued;
+    std::optional<std::uint64_t> done, running;
+};
+
+enum class TaskState { fetching, waiting, running, saving, exited };
+enum class Cause { none, done, stopped, peers, alone, error, no_room, busy, unknown };
+
+struct TaskReport {
+    TaskId task;
+    std::uint64_t attempt = 0;
+    TaskState state = TaskState::fetching;
+    Cause cause = Cause::none;
+    bool saved = false;
+};
+
+struct Report {
+    std::string machine, addr, type, zone;
+    bool spot = false;
+    std::uint64_t session = 0, sequence = 0, token = 0;
+    std::optional<double> notice_s;
+    std::vector<TaskReport> tasks;
+};
+
+enum class Op { start, stop, forget };
+struct Command {
+    Op op = Op::start;
+    TaskId task;
+    std::uint64_t attempt = 0;
+    double grace_s = 0;
+};
+
+struct MachineType {
+    std::string name;
+    Room room;
+    double cache_gb = 0, fetch_gb_per_s = 0, price = 0, spot_price = 0, boot_s = 0;
+    std::vector<std::string> zones;
+};
+
+enum class HostState { booting, running, failed };
+struct Host {
+    std::string id, addr, type, zone;
+    bool spot = false;
+    HostState state = HostState::booting;
+    double age_s = 0;
+};
+
+// The stored form of things: what the controllers keep at the state service.
+struct JobRecord {
+    Job job;
+    double submitted = 0;  // unix seconds
+    bool cancelled = false;
+};
+struct FinalRecord {
+    JobState state = JobState::done;
+    std::uint32_t tasks = 0;
+};
+struct MachineRecord {
+    std::string addr, type, zone;
+    bool spot = false;
+    bool condemned = false;  // a deletion was asked for: never to be used again
+};
+struct LeaderRecord {
+    std::string label;
+    std::uint64_t incarnation = 0;
+};
+
+}  // namespace coralhitch::wire
--- /dev/null
+++ b/src/wire/peer.hpp
@@ -0,0 +1,53 @@
+// What controllers say to each other, in msgpack. Fields are only ever added at the end.
+#pragma once
+#include <cstdint>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace coralhitch::wire {
+
+inline constexpr std::string_view peer_ping_path = "/peer/ping";
+inline constexpr std::string_view peer_job_path = "/peer/job";
+inline constexpr std::string_view peer_cancelled_path = "/peer/cancelled";
+
+struct PeerPing {
+    std::string label;
+    std::uint64_t incarnation = 0;
+    std::uint64_t leader_version = 0;  // the newest leadership the sender knows of
+    std::string leader;
+    bool state_ok = false;      // the state service answered the sender lately
+    MSGPACK_DEFINE(label, incarnation, leader_version, leader, state_ok)
+};
+struct PeerJobQuery {
+    std::string id;
+    MSGPACK_DEFINE(id)
+};
+struct PeerCancelled {
+    std::string id;
+    std::uint64_t version = 0;
+    MSGPACK_DEFINE(id, version)
+};
+struct PeerJobCounts {
+    bool known = false;
+    std::uint64_t done = 0, running = 0;
+    MSGPACK_DEFINE(known, done, running)
+};
+
+template <class T>
+std::string pack_peer(const T& v) {
+    msgpack::sbuffer b;
+    msgpack::pack(b, v);
+    return {b.data(), b.size()};
+}
+template <class T>
+std::optional<T> unpack_peer(std::string_view bytes) {
+    try {
+        return msgpack::unpack(bytes.data(), bytes.size()).get().as<T>();
+    } catch (const std::exception&) {
+        return std::nullopt;  // a peer of another version, or no peer at all
+    }
+}
+
+}  // namespace coralhitch::wire
--- /dev/null
+++ b/src/wire/protocol.cpp
@@ -0,0 +1,453 @@
+#include "wire/protocol.hpp"
+
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace coralhitch::wire {
+using nlohmann::json;
+
+namespace {
+
+template <class E, std::size_t N>
+using Names = std::array<std::pair<E, std::string_view>, N>;
+
+constexpr Names<Kind, 3> kind_names{{{Kind::array, "batch"}, {Kind::gang, "gang"}, {Kind::service, "service"}}};
+constexpr Names<Priority, 4> priority_names{{{Priority::production, "critical"},
+                                             {Priority::high, "high"},
+                                             {Priority::normal, "normal"},
+                                             {Priority::low, "idle"}}};
+constexpr Names<JobState, 4> job_state_names{{{JobState::queued, "pending"},
+                                              {JobState::running, "running"},
+                                              {JobState::done, "done"},
+                                              {JobState::cancelled, "withdrawn"}}};
+constexpr Names<TaskState, 5> task_state_names{{{TaskState::fetching, "fetching"},
+                                                {TaskState::waiting, "waiting"},
+                                                {TaskState::running, "running"},
+                                                {TaskState::saving, "flushing"},
+                                                {TaskState::exited, "exited"}}};
+constexpr Names<Cause, 8> cause_names{{{Cause::done, "done"},
+                                       {Cause::stopped, "halted"},
+                                       {Cause::peers, "mates_gone"},
+                                       {Cause::alone, "incomplete"},
+                                       {Cause::error, "error"},
+                                       {Cause::no_room, "no_room"},
+                                       {Cause::busy, "busy"},
+                                       {Cause::unknown, "unknown"}}};
+constexpr Names<Op, 3> op_names{{{Op::start, "run"}, {Op::stop, "kill"}, {Op::forget, "clear"}}};
+constexpr Names<HostState, 3> host_state_names{
+    {{HostState::booting, "booting"}, {HostState::running, "running"}, {HostState::failed, "failed"}}};
+
+template <class E, std::size_t N>
+std::string_view name_of(const Names<E, N>& names, E e) {
+    for (auto& [value, name] : names)
+        if (value == e) return name;
+    return {};
+}
+template <class E, std::size_t N>
+E named(const Names<E, N>& names, const std::string& text, const char* field) {
+    for (auto& [value, name] : names)
+        if (name == text) return value;
+    throw Malformed(std::string("field '") + field + "' has an unknown value");
+}
+
+[[noreturn]] void bad(const char* field, const char* what) {
+    throw Malformed(std::string("field '") + field + "' " + what);
+}
+
+json parse_object(std::string_view body) {
+    json j = json::parse(body, nullptr, false);
+    if (j.is_discarded()) throw Malformed("not JSON");
+    if (!j.is_object()) throw Malformed("not an object");
+    return j;
+}
+const json* find(const json& j, const char* field) {
+    auto it = j.find(field);
+    return it == j.end() || it->is_null() ? nullptr : &*it;
+}
+const json& need(const json& j, const char* field) {
+    auto* v = find(j, field);
+    if (!v) bad(field, "is missing");
+    return *v;
+}
+// Strings that are stored or used in keys stay short, so that no record can pass the state service's limit.
+constexpr std::size_t max_text = 512;
+std::string text(const json& j, const char* field) {
+    auto& v = need(j, field);
+    if (!v.is_string()) bad(field, "is not a string");
+    auto s = v.get<std::string>();
+    if (s.empty()) bad(field, "is empty");
+    if (s.size() > max_text) bad(field, "is too long");
+    return s;
+}
+bool flag(const json& j, const char* field) {
+    auto& v = need(j, field);
+    if (!v.is_boolean()) bad(field, "is not true or false");
+    return v.get<bool>();
+}
+double as_amount(const json& v, const char* field) {
+    if (!v.is_number()) bad(field, "is not a number");
+    double d = v.get<double>();
+    if (!std::isfinite(d)) bad(field, "is not finite");
+    if (d < 0) bad(field, "is negative");
+    return d;
+}
+double amount(const json& j, const char* field) { return as_amount(need(j, field), field); }
+// Counts, versions and tokens reach up to 2^64 and never pass through a double.
+std::uint64_t count(const json& j, const char* field) {
+    auto& v = need(j, field);
+    if (!v.is_number_unsigned()) bad(field, "is not a count");
+    return v.get<std::uint64_t>();
+}
+const json& list(const json& j, const char* field) {
+    auto& v = need(j, field);
+    if (!v.is_array()) bad(field, "is not a list");
+    return v;
+}
+std::vector<std::string> texts(const json& v, const char* field) {
+    if (!v.is_array()) bad(field, "is not a list");
+    std::vector<std::string> out;
+    for (auto& e : v) {
+        if (!e.is_string()) bad(field, "holds something that is not a string");
+        out.push_back(e.get<std::string>());
+    }
+    return out;
+}
+
+TaskId parse_task_id(const std::string& s) {
+    auto slash = s.rfind('/');
+    if (slash == std::string::npos) bad("shard", "is not a task id");
+    TaskId id{s.substr(0, slash), 0};
+    auto [end, ec] = std::from_chars(s.data() + slash + 1, s.data() + s.size(), id.index);
+    if (ec != std::errc() || end != s.data() + s.size()) bad("shard", "is not a task id");
+    return id;
+}
+
+json commands_json(std::span<const Command> commands) {
+    json out = json::array();
+    for (auto& c : commands) {
+        json o{{"verb", name_of(op_names, c.op)}, {"shard", c.task.str()}, {"launch", c.attempt}};
+        if (c.op == Op::stop) o["slack_s"] = c.grace_s;
+        out.push_back(std::move(o));
+    }
+    return out;
+}
+
+json job_json(const Job& b) {
+    json j{{"id", b.id},
+           {"cohort", b.cls},
+           {"crew", b.team},
+           {"shape", name_of(kind_names, b.kind)},
+           {"rank", name_of(priority_names, b.priority)},
+           {"shards", b.tasks},
+           {"vcpus", b.need.cpus},
+           {"cards", b.need.gpus},
+           {"ram_gb", b.need.memory_gb},
+           {"payload", b.image},
+           {"image_gb", b.image_gb},
+           {"together", b.one_zone},
+           {"scatter", b.spread},
+           {"driftwood", b.spot},
+           {"reckon_s", b.estimate_s},
+           {"anchor_s", b.checkpoint_s},
+           {"stow_s", b.save_s}};
+    if (b.types) j["hulls"] = *b.types;
+    if (b.zone) j["reef"] = *b.zone;
+    if (b.deadline_s) j["tide_s"] = *b.deadline_s;
+    return j;
+}
+
+Job job_of(const json& j) {
+    Job b;
+    b.id = text(j, "id");
+    if (!valid_job_id(b.id)) bad("id", "is not of the form j-000412");
+    b.cls = text(j, "cohort");
+    b.team = text(j, "crew");
+    b.kind = named(kind_names, text(j, "shape"), "shape");
+    b.priority = named(priority_names, text(j, "rank"), "rank");
+    auto tasks = count(j, "shards");
+    constexpr std::uint64_t max_tasks = 100000;
+    if (tasks == 0 || tasks > max_tasks) bad("shards", "is out of range");
+    b.tasks = static_cast<std::uint32_t>(tasks);
+    b.need = {amount(j, "vcpus"), amount(j, "cards"), amount(j, "ram_gb")};
+    b.image = text(j, "payload");
+    b.image_gb = amount(j, "image_gb");
+    if (auto* v = find(j, "hulls")) b.types = texts(*v, "hulls");
+    if (find(j, "reef")) b.zone = text(j, "reef");
+    b.one_zone = flag(j, "together");
+    b.spread = flag(j, "scatter");
+    b.spot = flag(j, "driftwood");
+    b.estimate_s = amount(j, "reckon_s");
+    b.checkpoint_s = amount(j, "anchor_s");
+    b.save_s = amount(j, "stow_s");
+    if (auto* v = find(j, "tide_s")) b.deadline_s = as_amount(*v, "tide_s");
+    return b;
+}
+
+std::string dumped(const json& j) { return j.dump(-1, ' ', false, json::error_handler_t::replace); }
+
+}  // namespace
+
+namespace paths {
+std::string kv(std::string_view key) { return "/kv/" + std::string(key); }
+std::string kv_list(std::string_view prefix, std::string_view after, int limit) {
+    std::string p = "/kv?starts=" + std::string(prefix);
+    if (!after.empty()) p += "&since=" + std::string(after);
+    return p + "&limit=" + std::to_string(limit);
+}
+std::string watch(std::string_view prefix, std::uint64_t since, std::uint64_t wait_ms) {
+    return "/watch?starts=" + std::string(prefix) + "&since=" + std::to_string(since) +
+           "&hold_ms=" + std::to_string(wait_ms);
+}
+std::string lease(std::uint64_t id) { return "/holds/" + std::to_string(id); }
+std::string lease_renew(std::uint64_t id) { return lease(id) + "/renew"; }
+std::string host_list(std::string_view after, int limit) {
+    std::string p = "/hosts?limit=" + std::to_string(limit);
+    if (!after.empty()) p += "&since=" + std::string(after);
+    return p;
+}
+}  // namespace paths
+
+bool valid_job_id(std::string_view id) {
+    constexpr std::size_t max_id = 64;
+    if (!id.starts_with("j-") || id.size() < 3 || id.size() > max_id) return false;
+    for (char c : id.substr(2))
+        if (c < '0' || c > '9') return false;
+    return true;
+}
+Job parse_job(std::string_view body) { return job_of(parse_object(body)); }
+std::optional<std::string> job_id_of(std::string_view body) {
+    json j = json::parse(body, nullptr, false);
+    if (!j.is_object()) return std::nullopt;
+    auto* v = find(j, "id");
+    if (!v || !v->is_string() || !valid_job_id(v->get_ref<const std::string&>())) return std::nullopt;
+    return v->get<std::string>();
+}
+std::string job_status(const JobStatus& s) {
+    json j{{"id", s.id}, {"status", name_of(job_state_names, s.state)}};
+    if (s.done) j["done"] = *s.done;
+    if (s.running) j["running"] = *s.running;
+    return dumped(j);
+}
+std::string error_body(std::string_view t) { return dumped(json{{"error", t}}); }
+
+Report parse_report(std::string_view body) {
+    json j = parse_object(body);
+    Report r;
+    r.machine = text(j, "berth");
+    r.addr = text(j, "addr");
+    r.type = text(j, "hull");
+    r.zone = text(j, "reef");
+    r.spot = flag(j, "driftwood");
+    r.session = count(j, "watch");
+    r.sequence = count(j, "tally");
+    r.token = count(j, "helm");
+    if (auto* v = find(j, "warning_s")) {
+        if (!v->is_number()) bad("warning_s", "is not a number");
+        r.notice_s = v->get<double>();
+    }
+    for (auto& e : list(j, "shards")) {
+        if (!e.is_object()) bad("shards", "holds something that is not an object");
+        TaskReport t;
+        t.task = parse_task_id(text(e, "shard"));
+        t.attempt = count(e, "launch");
+        t.state = named(task_state_names, text(e, "status"), "status");
+        // A cause this program doesn't know still is an end of the task.
+        if (t.state == TaskState::exited) {
+            t.cause = Cause::error;
+            if (auto* c = find(e, "cause"); c && c->is_string())
+                for (auto& [value, name] : cause_names)
+                    if (name == c->get_ref<const std::string&>()) t.cause = value;
+        }
+        if (auto* s = find(e, "saved"); s && s->is_boolean()) t.saved = s->get<bool>();
+        r.tasks.push_back(std::move(t));
+    }
+    return r;
+}
+std::string report_answer(std::uint64_t token, std::span<const Command> commands) {
+    return dumped(json{{"helm", token}, {"orders", commands_json(commands)}});
+}
+std::string direct_commands(std::uint64_t token, std::uint64_t session, std::span<const Command> commands) {
+    return dumped(json{{"helm", token}, {"watch", session}, {"orders", commands_json(commands)}});
+}
+std::string report_elsewhere(std::string_view label) {
+    return label.empty() ? "{}" : dumped(json{{"harbor", label}});
+}
+
+namespace {
+MachineType type_of(const json& e) {
+    MachineType t;
+    t.name = text(e, "name");
+    t.room = {amount(e, "vcpus"), amount(e, "cards"), amount(e, "ram_gb")};
+    t.cache_gb = amount(e, "cache_gb");
+    t.fetch_gb_per_s = amount(e, "fetch_gb_per_s");
+    t.price = amount(e, "hourly");
+    t.spot_price = amount(e, "spot_price");
+    t.boot_s = amount(e, "startup_s");
+    t.zones = texts(list(e, "reefs"), "reefs");
+    return t;
+}
+}  // namespace
+
+std::vector<MachineType> parse_types(std::string_view body) {
+    std::vector<MachineType> out;
+    json j = parse_object(body);
+    for (auto& e : list(j, "hulls")) out.push_back(type_of(e));
+    return out;
+}
+std::string stored_types(std::span<const MachineType> types) {
+    json a = json::array();
+    for (auto& t : types)
+        a.push_back(json{{"name", t.name},
+                         {"vcpus", t.room.cpus},
+                         {"cards", t.room.gpus},
+                         {"ram_gb", t.room.memory_gb},
+                         {"cache_gb", t.cache_gb},
+                         {"fetch_gb_per_s", t.fetch_gb_per_s},
+                         {"hourly", t.price},
+                         {"spot_price", t.spot_price},
+                         {"startup_s", t.boot_s},
+                         {"reefs", t.zones}});
+    return dumped(json{{"hulls", a}});
+}
+std::string rent_request(std::string_view name, std::string_view type, std::string_view zone, bool spot, int n) {
+    return dumped(
+        json{{"charter", name}, {"hull", type}, {"reef", zone}, {"driftwood", spot}, {"how_many", n}});
+}
+std::vector<std::string> parse_rented(std::string_view body) {
+    json j = parse_object(body);
+    return texts(list(j, "berths"), "berths");
+}
+std::string delete_request(std::span<const std::string> machines) {
+    json a = json::array();
+    for (auto& m : machines) a.push_back(m);
+    return dumped(json{{"berths", a}});
+}
+HostPage parse_hosts(std::string_view body) {
+    json j = parse_object(body);
+    HostPage p;
+    for (auto& e : list(j, "berths")) {
+        Host h;
+        h.id = text(e, "id");
+        if (auto* a = find(e, "addr"); a && a->is_string()) h.addr = a->get<std::string>();
+        h.type = text(e, "hull");
+        h.zone = text(e, "reef");
+        h.spot = flag(e, "driftwood");
+        h.state = named(host_state_names, text(e, "status"), "status");
+        h.age_s = amount(e, "age_s");
+        p.hosts.push_back(std::move(h));
+    }
+    if (auto* m = find(j, "more"); m && m->is_boolean()) p.more = m->get<bool>();
+    return p;
+}
+
+Entry parse_entry(std::string_view body) {
+    json j = parse_object(body);
+    Entry e{text(j, "path"), dumped(need(j, "value")), count(j, "stamp"), 0};
+    if (auto* l = find(j, "mooring"); l && l->is_number_unsigned()) e.lease = l->get<std::uint64_t>();
+    return e;
+}
+EntryPage parse_entries(std::string_view body) {
+    json j = parse_object(body);
+    EntryPage p;
+    for (auto& e : list(j, "entries"))
+        p.entries.push_back({text(e, "path"), dumped(need(e, "value")), count(e, "stamp"), 0});
+    if (auto* m = find(j, "more"); m && m->is_boolean()) p.more = m->get<bool>();
+    p.revision = count(j, "epoch");
+    return p;
+}
+Events parse_events(std::string_view body) {
+    json j = parse_object(body);
+    Events out;
+    out.revision = count(j, "epoch");
+    for (auto& e : list(j, "news")) {
+        Event v;
+        if (find(e, "put")) {
+            v.key = text(e, "put");
+            v.value = dumped(need(e, "value"));
+        } else {
+            v.key = text(e, "drop");
+        }
+        v.version = count(e, "stamp");
+        out.events.push_back(std::move(v));
+    }
+    return out;
+}
+std::string txn_request(const Txn& t) {
+    json conditions = json::array(), changes = json::array();
+    for (auto& c : t.conditions) conditions.push_back(json{{"path", c.key}, {"stamp", c.version}});
+    for (auto& c : t.changes) {
+        if (!c.value) {
+            changes.push_back(json{{"drop", c.key}});
+            continue;
+        }
+        json put{{"put", c.key}, {"value", json::parse(*c.value)}};
+        if (c.lease) put["mooring"] = c.lease;
+        changes.push_back(std::move(put));
+    }
+    return dumped(json{{"if", conditions}, {"then", changes}});
+}
+std::uint64_t parse_revision(std::string_view body) { return count(parse_object(body), "epoch"); }
+Conflict parse_conflict(std::string_view body) {
+    json j = parse_object(body);
+    return {texts(list(j, "failed"), "failed")};
+}
+std::string lease_request(std::uint64_t ttl_ms) { return dumped(json{{"ttl_ms", ttl_ms}}); }
+std::uint64_t parse_lease(std::string_view body) { return count(parse_object(body), "mooring"); }
+
+std::string stored(const JobRecord& r) {
+    return dumped(json{{"job", job_json(r.job)}, {"submitted", r.submitted}, {"cancelled", r.cancelled}});
+}
+std::string stored(const FinalRecord& r) {
+    return dumped(json{{"state", name_of(job_state_names, r.state)}, {"tasks", r.tasks}});
+}
+std::string stored(const MachineRecord& r) {
+    return dumped(json{
+        {"addr", r.addr}, {"type", r.type}, {"zone", r.zone}, {"spot", r.spot}, {"condemned", r.condemned}});
+}
+std::string stored(const LeaderRecord& r) {
+    return dumped(json{{"label", r.label}, {"incarnation", r.incarnation}});
+}
+std::string stored_bits(const std::vector<bool>& bits) {
+    constexpr char digits[] = "0123456789abcdef";
+    std::string hex((bits.size() + 3) / 4, '0');
+    for (std::size_t i = 0; i < hex.size(); ++i) {
+        unsigned v = 0;
+        for (std::size_t k = 0; k < 4; ++k)
+            if (i * 4 + k < bits.size() && bits[i * 4 + k]) v |= 1u << k;
+        hex[i] = digits[v];
+    }
+    return dumped(json{{"bits", hex}});
+}
+JobRecord parse_job_record(std::string_view v) {
+    json j = parse_object(v);
+    return {job_of(need(j, "job")), amount(j, "submitted"), flag(j, "cancelled")};
+}
+FinalRecord parse_final_record(std::string_view v) {
+    json j = parse_object(v);
+    return {named(job_state_names, text(j, "state"), "state"), static_cast<std::uint32_t>(count(j, "tasks"))};
+}
+MachineRecord parse_machine_record(std::string_view v) {
+    json j = parse_object(v);
+    return {text(j, "addr"), text(j, "type"), text(j, "zone"), flag(j, "spot"), flag(j, "condemned")};
+}
+LeaderRecord parse_leader_record(std::string_view v) {
+    json j = parse_object(v);
+    return {text(j, "label"), count(j, "incarnation")};
+}
+std::vector<bool> parse_bits(std::string_view v) {
+    json j = parse_object(v);
+    auto& b = need(j, "bits");
+    if (!b.is_string()) bad("bits", "is not a string");
+    auto& hex = b.get_ref<const std::string&>();
+    std::vector<bool> bits(hex.size() * 4);
+    for (std::size_t i = 0; i < hex.size(); ++i) {
+        int d = hex[i] >= 'a' ? hex[i] - 'a' + 10 : hex[i] - '0';
+        if (d < 0 || d > 15) bad("bits", "is not hexadecimal");
+        for (std::size_t k = 0; k < 4; ++k) bits[i * 4 + k] = (d >> k) & 1;
+    }
+    return bits;
+}
+
+}  // namespace coralhitch::wire
--- /dev/null
+++ b/src/wire/protocol.hpp
@@ -0,0 +1,122 @@
+// Every outside message: parse and serialise. Only protocol.cpp knows the protocol's own names.
+#pragma once
+#include <nlohmann/json_fwd.hpp>
+#include <span>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "wire/model.hpp"
+
+namespace coralhitch::wire {
+
+// A message that does not follow the protocol; what() names the field.
+struct Malformed : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+namespace paths {
+inline constexpr std::string_view jobs = "/api/jobs";
+inline constexpr std::string_view cancel = "/cancel";
+inline constexpr std::string_view health = "/healthz";
+inline constexpr std::string_view metrics = "/metrics";
+inline constexpr std::string_view report = "/hello";
+inline constexpr std::string_view commands = "/do";
+inline constexpr std::string_view inspect = "/inspect";
+inline constexpr std::string_view types = "/flavors";
+inline constexpr std::string_view hosts = "/hosts";
+inline constexpr std::string_view hosts_delete = "/hosts/delete";
+inline constexpr std::string_view txn = "/txn";
+inline constexpr std::string_view leases = "/holds";
+std::string kv(std::string_view key);
+std::string kv_list(std::string_view prefix, std::string_view after, int limit);
+std::string watch(std::string_view prefix, std::uint64_t since, std::uint64_t wait_ms);
+std::string lease(std::uint64_t id);
+std::string lease_renew(std::uint64_t id);
+std::string host_list(std::string_view after, int limit);
+}  // namespace paths
+
+// Users
+bool valid_job_id(std::string_view id);
+Job parse_job(std::string_view body);
+std::optional<std::string> job_id_of(std::string_view body);  // of a body that may be malformed otherwise
+std::string job_status(const JobStatus& s);
+std::string error_body(std::string_view text);
+
+// Workers
+Report parse_report(std::string_view body);
+std::string report_answer(std::uint64_t token, std::span<const Command> commands);
+std::string direct_commands(std::uint64_t token, std::uint64_t session, std::span<const Command> commands);
+std::string report_elsewhere(std::string_view label);  // empty label: nobody known
+
+// Cloud
+std::vector<MachineType> parse_types(std::string_view body);
+std::string rent_request(std::string_view name, std::string_view type, std::string_view zone, bool spot, int count);
+std::vector<std::string> parse_rented(std::string_view body);
+std::string delete_request(std::span<const std::string> machines);
+struct HostPage {
+    std::vector<Host> hosts;
+    bool more = false;
+};
+HostPage parse_hosts(std::string_view body);
+
+// State service
+struct Entry {
+    std::string key, value;  // value: JSON text
+    std::uint64_t version = 0, lease = 0;
+};
+struct EntryPage {
+    std::vector<Entry> entries;
+    bool more = false;
+    std::uint64_t revision = 0;
+};
+struct Event {
+    std::string key;
+    std::optional<std::string> value;  // absent: deleted
+    std::uint64_t version = 0;
+};
+struct Events {
+    std::uint64_t revision = 0;
+    std::vector<Event> events;
+};
+struct Condition {
+    std::string key;
+    std::uint64_t version = 0;
+};
+struct Change {
+    std::string key;
+    std::optional<std::string> value;  // absent: delete
+    std::uint64_t lease = 0;
+};
+struct Txn {
+    std::vector<Condition> conditions;
+    std::vector<Change> changes;
+};
+struct Conflict {
+    std::vector<std::string> failed;
+};
+Entry parse_entry(std::string_view body);
+EntryPage parse_entries(std::string_view body);
+Events parse_events(std::string_view body);
+std::string txn_request(const Txn& t);
+std::uint64_t parse_revision(std::string_view body);
+Conflict parse_conflict(std::string_view body);
+std::string lease_request(std::uint64_t ttl_ms);
+std::uint64_t parse_lease(std::string_view body);
+
+// Stored values
+std::string stored(const JobRecord& r);
+std::string stored(const FinalRecord& r);
+std::string stored(const MachineRecord& r);
+std::string stored(const LeaderRecord& r);
+std::string stored_bits(const std::vector<bool>& bits);
+std::string stored_types(std::span<const MachineType> types);
+JobRecord parse_job_record(std::string_view v);
+FinalRecord parse_final_record(std::string_view v);
+MachineRecord parse_machine_record(std::string_view v);
+LeaderRecord parse_leader_record(std::string_view v);
+std::vector<bool> parse_bits(std::string_view v);
+
+}  // namespace coralhitch::wire
