--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -175,7 +175,8 @@
         auto& spec = *job.spec;
         auto machines = allowed(job);
         std::size_t missing = 0;
-        for (auto task : job.waiting) {
+        for (std::size_t k = 0; k < job.waiting.size(); ++k) {
+            auto task = job.waiting[k];
             if (!team_ok(spec, 1)) break;
             std::vector<std::size_t> fit;
             for (auto m : machines)
@@ -192,7 +193,7 @@
             ++missing;
             if (!make_room(j, fit)) {
                 // No other task of this job fits either, unless its zone is another one.
-                missing = job.waiting.size() - static_cast<std::size_t>(&task - job.waiting.data());
+                missing += job.waiting.size() - k - 1;
                 break;
             }
         }
