--- a/src/capacity/capacity.cpp
+++ b/src/capacity/capacity.cpp
@@ -1,6 +1,7 @@
 #include "capacity/capacity.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <cmath>
 
 #include "placement/placement.hpp"
@@ -39,7 +40,10 @@
         for (auto& b : bins_)
             if (!b.machine) ++rents[{b.type, b.zone, b.spot}];
         for (auto& [p, n] : rents) d.rents.push_back({std::get<0>(p), std::get<1>(p), std::get<2>(p), n});
-        if (d.rents.empty()) give_back(d);
+        if (d.rents.empty()) {
+            drain(d);
+            give_back(d);
+        }
         return d;
     }
 
@@ -109,6 +113,21 @@
             if (!open(any, {})) return;
         }
     }
+    // Two random choices spread tasks over all machines, so none would ever become empty. The surplus is
+    // therefore left out of the draws: emptiest first, never a machine that holds a service.
+    void drain(Decisions& d) {
+        double surplus = spare() - spare_wanted();
+        std::vector<const Bin*> order;
+        for (auto& b : bins_)
+            if (b.machine && !b.machine->booting && b.machine->services == 0) order.push_back(&b);
+        auto key = [](const Bin* b) { return std::tuple(b->machine->tasks, !b->machine->draining, b->spot); };
+        std::sort(order.begin(), order.end(), [&](auto* a, auto* b) { return key(a) < key(b); });
+        for (auto* b : order) {
+            if (surplus < 1) return;
+            d.drains.insert(b->machine->id);
+            surplus -= 1;
+        }
+    }
     void give_back(Decisions& d) {
         double extra = spare() - spare_wanted();
         std::vector<const Bin*> idle;
--- a/src/capacity/capacity.hpp
+++ b/src/capacity/capacity.hpp
@@ -18,6 +18,8 @@
     bool spot = false, booting = false;
     wire::Room total, free;
     bool empty = false;
+    bool draining = false;  // lately chosen to be emptied
+    int tasks = 0, services = 0;
     double idle_for = 0;
 };
 struct Need {
@@ -30,7 +32,6 @@
     std::vector<MachineView> machines;
     std::vector<Need> needs;
     std::set<Pool> refused;  // lately without capacity
-    bool spot_wanted = false;  // some live job may use spot machines
 };
 struct Rent {
     std::string type, zone;
@@ -40,6 +41,7 @@
 struct Decisions {
     std::vector<Rent> rents;
     std::vector<std::string> returns;
+    std::set<std::string> drains;  // surplus: nothing new goes there while there is room elsewhere
 };
 
 Decisions plan(const Input& in, const config::Settings& settings);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -29,7 +29,7 @@
     std::uint32_t draw_rounds = 4;
     double reserve_ratio = 0.15;
     std::uint32_t max_machines = 0;
-    double idle_boots = 2.0;
+    double idle_boots = 0.5;
 };
 struct Settings {
     std::string label, zone, listen, peer_listen;
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -821,8 +821,17 @@
     }
     in.team_used = team_used();
     for (auto& [id, m] : picture_.machines()) {
-        placement::MachineView v{id, m.type, m.zone, m.spot, m.usable(now()) && !m.has_unknown(), m.total, m.free(),
-                                 static_cast<int>(m.tasks.size()), m.images, {}, {}};
+        placement::MachineView v;
+        v.id = id;
+        v.type = m.type;
+        v.zone = m.zone;
+        v.spot = m.spot;
+        v.usable = m.usable(now()) && !m.has_unknown();
+        v.draining = drains_.contains(id);
+        v.total = m.total;
+        v.free = m.free();
+        v.tasks = static_cast<int>(m.tasks.size());
+        v.images = m.images;
         for (auto& [task, i] : m.tasks) {
             auto it = job_index.find(task.job);
             if (it == job_index.end()) continue;
@@ -844,7 +853,7 @@
             auto& [type, zone, spot] = r.pool;
             for (auto& t : c_.types)
                 if (t.name == type)
-                    in.machines.push_back({name, type, zone, spot, true, t.room, t.room, false, 0});
+                    in.machines.push_back({name, type, zone, spot, true, t.room, t.room});
         }
     for (auto& [pool, until] : refused_)
         if (until > now()) in.refused.insert(pool);
@@ -858,8 +867,14 @@
         bool booting = m->life == Machine::Life::booting;
         if (!booting && !v.usable) continue;
         // With what the plan has just decided to start.
-        in.machines.push_back({v.id, v.type, v.zone, v.spot, booting, v.total, v.free,
-                               m->tasks.empty() && v.tasks == 0, now() - m->idle_since});
+        capacity::MachineView c{v.id, v.type, v.zone, v.spot, booting, v.total, v.free};
+        c.empty = m->tasks.empty() && v.tasks == 0;
+        c.draining = v.draining;
+        c.tasks = v.tasks;
+        for (auto& [task, i] : m->tasks)
+            if (i.spec && i.spec->kind == Kind::service) ++c.services;
+        c.idle_for = now() - m->idle_since;
+        in.machines.push_back(std::move(c));
     }
     for (auto& u : p.out.unplaced) {
         auto& j = p.in.jobs[u.job];
@@ -935,6 +950,7 @@
             picture_.stop(*m, {spec.id, i.task}, placement::grace_of(spec));
             touched.insert(m->id);
         }
+        if (p.with_capacity) drains_ = p.capacity.drains;
         for (auto& id : p.capacity.returns) {
             auto* m = picture_.find(id);
             if (m && m->tasks.empty() && m->settled) condemn(*m, "is idle");
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -138,6 +138,7 @@
     bool planning_ = false, plan_wanted_ = false;
     double last_plan_ = -1, last_capacity_ = -1, last_list_ = -1, remove_retry_ = 0;
     bool listed_once_ = false;
+    std::set<std::string> drains_;  // guarded by mutex_
     loop::TimerId tick_timer_ = 0;
 };
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -181,11 +181,12 @@
             std::vector<std::size_t> fit;
             for (auto m : machines)
                 if (zone_allowed(spec, job.zones, in_.machines[m].zone)) fit.push_back(m);
-            std::optional<std::size_t> m;
-            if (big(spec, fit))
-                m = fullest(spec, fit);
-            else
-                m = two_choices(spec, fit);
+            auto surplus = std::stable_partition(fit.begin(), fit.end(),
+                                                 [&](auto i) { return !in_.machines[i].draining; });
+            std::vector<std::size_t> kept(fit.begin(), surplus);
+            bool whole = big(spec, fit);
+            auto m = whole ? fullest(spec, kept) : two_choices(spec, kept);
+            if (!m && surplus != fit.end()) m = whole ? fullest(spec, fit) : two_choices(spec, fit);
             if (m) {
                 take(j, task, *m);
                 continue;
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -21,6 +21,7 @@
 struct MachineView {
     std::string id, type, zone;
     bool spot = false, usable = false;
+    bool draining = false;  // surplus: used only if there is no room elsewhere
     wire::Room total, free;
     int tasks = 0;
     std::set<std::string> images;
