Small tasks leave whole room to the tasks that need it, while there is room elsewhere

Cause: services drawn over all machines took half of each, so whole-machine gangs had to displace arrays (seen in a debug run: 15 services on 15 machines).

--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -64,6 +64,7 @@
             by_job_[in_.instances[k].job].push_back(k);
         }
         guarantees();
+        largest();
     }
 
     Decisions run() {
@@ -181,12 +182,7 @@
             std::vector<std::size_t> fit;
             for (auto m : machines)
                 if (zone_allowed(spec, job.zones, in_.machines[m].zone)) fit.push_back(m);
-            auto surplus = std::stable_partition(fit.begin(), fit.end(),
-                                                 [&](auto i) { return !in_.machines[i].draining; });
-            std::vector<std::size_t> kept(fit.begin(), surplus);
-            bool whole = big(spec, fit);
-            auto m = whole ? fullest(spec, kept) : two_choices(spec, kept);
-            if (!m && surplus != fit.end()) m = whole ? fullest(spec, fit) : two_choices(spec, fit);
+            auto m = place_single(spec, fit);
             if (m) {
                 take(j, task, *m);
                 continue;
@@ -201,6 +197,44 @@
         if (missing) out_.unplaced.push_back({j, missing});
     }
 
+    // Surplus machines are left out of the draws, and small tasks leave whole room to the tasks that need it:
+    // each only while there is room elsewhere.
+    std::optional<std::size_t> place_single(const wire::Job& spec, const std::vector<std::size_t>& fit) {
+        std::vector<std::size_t> kept;
+        for (auto i : fit)
+            if (!in_.machines[i].draining) kept.push_back(i);
+        if (big(spec, fit)) {
+            auto m = fullest(spec, kept);
+            return m ? m : fullest(spec, fit);
+        }
+        std::vector<std::size_t> sliced;
+        for (auto i : kept)
+            if (!breaks_up(spec, i)) sliced.push_back(i);
+        if (auto m = two_choices(spec, sliced)) return m;
+        if (sliced.size() < kept.size())
+            if (auto m = two_choices(spec, kept)) return m;
+        return kept.size() < fit.size() ? two_choices(spec, fit) : std::nullopt;
+    }
+    // The largest task of live jobs that goes to the fullest machine rather than to a drawn one.
+    void largest() {
+        for (auto& j : in_.jobs)
+            for (auto& m : in_.machines) {
+                if (j.open == 0) break;
+                double s = share(j.spec->need, m.total);
+                if ((j.spec->kind != Kind::gang && s <= 0.5) || s > 1 || s <= largest_share_) continue;
+                largest_share_ = s;
+                largest_ = j.spec->need;
+            }
+    }
+    // Whether the task would take the room in which such a task still fits.
+    bool breaks_up(const wire::Job& spec, std::size_t m) const {
+        if (largest_share_ <= 0) return false;
+        auto room = in_.machines[m].free;
+        if (!room.holds(largest_)) return false;
+        room -= spec.need;
+        return !room.holds(largest_);
+    }
+
     bool big(const wire::Job& spec, const std::vector<std::size_t>& fit) const {
         return std::any_of(fit.begin(), fit.end(),
                            [&](auto m) { return share(spec.need, in_.machines[m].total) > 0.5; });
@@ -357,6 +391,8 @@
     std::mt19937_64& random_;
     std::map<std::string, const config::Team*> teams_;
     std::vector<bool> guaranteed_, stopping_;
+    Room largest_;
+    double largest_share_ = 0;
     std::vector<std::vector<std::size_t>> by_machine_, by_job_;
     Decisions out_;
 };
