--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -239,10 +239,15 @@
         return std::any_of(fit.begin(), fit.end(),
                            [&](auto m) { return share(spec.need, in_.machines[m].total) > 0.5; });
     }
+    // The load measure: the tasks on the machine; having to fetch the image weighs more than any number of them.
+    static double load(const wire::Job& spec, const MachineView& m) {
+        constexpr double fetch = 1e3;
+        return m.tasks + (m.images.contains(spec.image) ? 0 : fetch);
+    }
     std::optional<std::size_t> two_choices(const wire::Job& spec, const std::vector<std::size_t>& fit) {
         auto k = draw(
             fit.size(), [&](std::size_t i) { return open_room(in_.machines[fit[i]]).holds(spec.need); },
-            [&](std::size_t i) { return in_.machines[fit[i]].tasks; }, settings_.op, random_, out_.counts);
+            [&](std::size_t i) { return load(spec, in_.machines[fit[i]]); }, settings_.op, random_, out_.counts);
         return k ? std::optional(fit[*k]) : std::nullopt;
     }
     std::optional<std::size_t> fullest(const wire::Job& spec, const std::vector<std::size_t>& fit) {
