--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -207,12 +207,18 @@
             auto m = fullest(spec, kept);
             return m ? m : fullest(spec, fit);
         }
-        std::vector<std::size_t> sliced;
-        for (auto i : kept)
-            if (!breaks_up(spec, i)) sliced.push_back(i);
-        if (auto m = two_choices(spec, sliced)) return m;
-        if (sliced.size() < kept.size())
-            if (auto m = two_choices(spec, kept)) return m;
+        auto having = [&](auto&& test) {
+            std::vector<std::size_t> some;
+            for (auto i : kept)
+                if (test(i)) some.push_back(i);
+            return two_choices(spec, some);
+        };
+        auto image = [&](auto i) { return in_.machines[i].images.contains(spec.image); };
+        auto sliced = [&](auto i) { return !breaks_up(spec, i); };
+        if (auto m = having([&](auto i) { return sliced(i) && image(i); })) return m;
+        if (auto m = having(image)) return m;
+        if (auto m = having(sliced)) return m;
+        if (auto m = two_choices(spec, kept)) return m;
         return kept.size() < fit.size() ? two_choices(spec, fit) : std::nullopt;
     }
     // The largest task of live jobs that goes to the fullest machine rather than to a drawn one.
