--- a/src/capacity/capacity.cpp
+++ b/src/capacity/capacity.cpp
@@ -105,11 +105,27 @@
     }
     double spare_wanted() const {
         double used = static_cast<double>(bins_.size()) - spare();
-        return used > 0 ? std::max(1.0, used * settings_.op.reserve_ratio) : 0;
+        if (used <= 0) return 0;
+        return std::max({1.0, used * settings_.op.reserve_ratio, guaranteed() - used});
+    }
+    // What the teams are guaranteed together, in machines of the largest type: they need not wait for it, so it
+    // is there once anybody works.
+    double guaranteed() const {
+        wire::Room sum, largest;
+        for (auto& t : settings_.teams) sum += {t.cpus, t.gpus, 0};
+        for (auto& t : in_.types) {
+            largest.cpus = std::max(largest.cpus, t.room.cpus);
+            largest.gpus = std::max(largest.gpus, t.room.gpus);
+        }
+        double cpus = largest.cpus > 0 ? sum.cpus / largest.cpus : 0;
+        double gpus = largest.gpus > 0 ? sum.gpus / largest.gpus : 0;
+        return std::max(cpus, gpus);
     }
     void reserve() {
         while (!in_.types.empty() && spare() < spare_wanted()) {
-            wire::Job any;  // ordinary machines: they serve every job
+            wire::Job any;  // ordinary machines serve every job; where there are none, spot ones relieve them
+            if (open(any, {})) continue;
+            any.spot = true;
             if (!open(any, {})) return;
         }
     }
