--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -23,8 +23,8 @@
     double within_s = 0, share = 0;
 };
 struct Operator {
-    double lease_ratio = 0.2;
-    double silence_reports = 3.0;
+    double lease_ratio = 0.1;
+    double silence_reports = 2.0;
     std::uint32_t draws = 2;
     std::uint32_t draw_rounds = 4;
     double reserve_ratio = 0.15;
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -22,7 +22,7 @@
 // Ratios to the report period, unless named otherwise.
 constexpr double tick_reports = 1.0 / 6;
 constexpr double plan_gap_reports = 1.0 / 12;
-constexpr double probe_reports = 1.3;
+constexpr double probe_reports = 1.27;
 constexpr double capacity_reports = 1.0 / 2;
 constexpr double refused_reports = 10;
 constexpr double sick_reports = 20;
@@ -241,7 +241,7 @@
         if (auto* m = picture_.find(r.machine); m && heard.fresh && m->notice_until >= 0) heed_notice(*m);
     }
     if (heard.deposed) {
-        spdlog::info("leader: machine {} has seen the token of a later leader", r.machine);
+        spdlog::debug("leader: machine {} has seen the token of a later leader", r.machine);
         return heard;
     }
     settled_check();
