--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -27,7 +27,7 @@
     double silence_reports = 2.0;
     std::uint32_t draws = 2;
     std::uint32_t draw_rounds = 4;
-    double reserve_ratio = 0.15;
+    double reserve_ratio = 0.3;
     std::uint32_t max_machines = 0;
     double idle_boots = 0.5;
 };
