--- a/src/api/users.cpp
+++ b/src/api/users.cpp
@@ -12,13 +12,18 @@
 using wire::JobState;
 
 namespace {
-http::Response later() { return {503, wire::error_body("try again"), "application/json", 1}; }
-http::Response status(int code, const wire::JobStatus& s) { return {code, wire::job_status(s)}; }
+http::Response later() {
+    return {503, wire::error_body("try again"), "application/json", 1};
+}
+http::Response status(int code, const wire::JobStatus& s) {
+    return {code, wire::job_status(s)};
+}
 constexpr int cancel_tries = 4;
 constexpr std::size_t finals_per_mb = 50;  // cached final states for each MB of memory that is granted
 }  // namespace
 
-Verdict judge(const wire::Job& job, const std::vector<wire::MachineType>& types, const config::Settings& settings) {
+Verdict judge(const wire::Job& job, const std::vector<wire::MachineType>& types,
+              const config::Settings& settings) {
     auto team = std::find_if(settings.teams.begin(), settings.teams.end(),
                              [&](auto& t) { return t.name == job.team; });
     if (team == settings.teams.end()) return {false, "unknown team"};
@@ -29,11 +34,13 @@
     });
     if (!fits) return {false, "a task fits no allowed machine type"};
     double at_once = job.kind == wire::Kind::array ? 1 : static_cast<double>(job.tasks);
-    if (!placement::team_allows(*team, {}, job.need.times(at_once))) return {false, "more than the team's limit"};
+    if (!placement::team_allows(*team, {}, job.need.times(at_once)))
+        return {false, "more than the team's limit"};
     return {};
 }
 
-Users::Users(loop::Timers& timers, state::Client& state, const config::Settings& settings, Surroundings& around)
+Users::Users(loop::Timers& timers, state::Client& state, const config::Settings& settings,
+             Surroundings& around)
     : timers_(timers), state_(state), settings_(settings), around_(around) {}
 
 // Live first, then final: a job moves in that direction only, in one transaction, so a job that is in neither
@@ -95,7 +102,8 @@
 }
 
 // An accepted job's retry is answered with its state, whatever the rest of the body now says.
-void Users::refuse_unless_known(const std::optional<std::string>& id, http::Response refusal, http::Reply reply) {
+void Users::refuse_unless_known(const std::optional<std::string>& id, http::Response refusal,
+                                http::Reply reply) {
     if (!id) return reply(std::move(refusal));
     look_up(*id, [this, id = *id, refusal, reply](Known k) {
         if (!k.ok) return reply(later());
@@ -128,12 +136,14 @@
     auto id = job.id;
     wire::Txn t;
     t.conditions = {{keys::job(id), 0}, {keys::final(id), 0}};
-    t.changes = {{keys::job(id), wire::stored(wire::JobRecord{std::move(job), timers_.unix_time(), false}), 0}};
+    t.changes = {
+        {keys::job(id), wire::stored(wire::JobRecord{std::move(job), timers_.unix_time(), false}), 0}};
     state_.txn(std::move(t), state::Rank::write, [this, id, reply](state::Committed c) {
         using S = state::Committed::Status;
         if (c.status == S::committed) return reply(status(201, {id, JobState::queued, {}, {}}));
         if (c.status == S::refused) return reply(later());
-        // Known already, or the answer was lost: read, then decide. If it is not there yet, the user asks again.
+        // Known already, or the answer was lost: read, then decide. If it is not there yet, the user asks
+        // again.
         refuse_unless_known(id, later(), reply);
     });
 }
--- a/src/api/users.hpp
+++ b/src/api/users.hpp
@@ -18,7 +18,8 @@
     std::string reason;
 };
 // Whether the job can ever run on what exists.
-Verdict judge(const wire::Job& job, const std::vector<wire::MachineType>& types, const config::Settings& settings);
+Verdict judge(const wire::Job& job, const std::vector<wire::MachineType>& types,
+              const config::Settings& settings);
 
 struct TaskCounts {
     std::uint64_t done = 0, running = 0;
--- a/src/capacity/capacity.cpp
+++ b/src/capacity/capacity.cpp
@@ -1,8 +1,8 @@
 #include "capacity/capacity.hpp"
 
 #include <algorithm>
-#include <tuple>
 #include <cmath>
+#include <tuple>
 
 #include "placement/placement.hpp"
 
@@ -108,8 +108,8 @@
         if (used <= 0) return 0;
         return std::max({1.0, used * settings_.op.reserve_ratio, guaranteed() - used});
     }
-    // What the teams are guaranteed together, in machines of the largest type: they need not wait for it, so it
-    // is there once anybody works.
+    // What the teams are guaranteed together, in machines of the largest type: they need not wait for it, so
+    // it is there once anybody works.
     double guaranteed() const {
         wire::Room sum, largest;
         for (auto& t : settings_.teams) sum += {t.cpus, t.gpus, 0};
@@ -172,6 +172,8 @@
 
 }  // namespace
 
-Decisions plan(const Input& in, const config::Settings& settings) { return Packer(in, settings).run(); }
+Decisions plan(const Input& in, const config::Settings& settings) {
+    return Packer(in, settings).run();
+}
 
 }  // namespace coralhitch::capacity
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -64,10 +64,10 @@
                }
            });
 }
-void Client::rent(const std::string& name, const std::string& type, const std::string& zone, bool spot, int count,
-                  std::function<void(Rented)> done) {
-    submit({"POST", std::string(wire::paths::hosts), wire::rent_request(name, type, zone, spot, count)}, false,
-           [done](std::optional<http::Response> r) {
+void Client::rent(const std::string& name, const std::string& type, const std::string& zone, bool spot,
+                  int count, std::function<void(Rented)> done) {
+    submit({"POST", std::string(wire::paths::hosts), wire::rent_request(name, type, zone, spot, count)},
+           false, [done](std::optional<http::Response> r) {
                Rented out;
                try {
                    if (r && r->status == 200)
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -2,11 +2,11 @@
 
 #include <google/protobuf/io/tokenizer.h>
 #include <google/protobuf/text_format.h>
+#include <toml++/toml.h>
 
 #include <cmath>
 #include <fstream>
 #include <sstream>
-#include <toml++/toml.h>
 
 #include "operator.pb.h"
 
@@ -121,7 +121,8 @@
     s.zone = t.text("domain");
     s.listen = t.addr("public_addr");
     s.peer_listen = t.addr("peer_listen");
-    for (auto& p : t.rows("seeds")) s.peers.push_back({p.text("label"), p.text("domain"), p.addr("peer_addr")});
+    for (auto& p : t.rows("seeds"))
+        s.peers.push_back({p.text("label"), p.text("domain"), p.addr("peer_addr")});
     auto endpoints = t.sub("endpoints");
     s.cloud_addr = endpoints.addr("cloud");
     s.state_addr = endpoints.addr("state");
@@ -160,14 +161,17 @@
     s.sockets = l.count("sockets", 16);
     return s;
 }
-Settings load_settings(const std::string& file) { return parse_settings(read_file(file), file); }
+Settings load_settings(const std::string& file) {
+    return parse_settings(read_file(file), file);
+}
 
 namespace {
 class Complaints : public google::protobuf::io::ErrorCollector {
   public:
     void AddError(int line, int column, const std::string& message) override {
         if (first.empty())
-            first = "line " + std::to_string(line + 1) + ", column " + std::to_string(column + 1) + ": " + message;
+            first = "line " + std::to_string(line + 1) + ", column " + std::to_string(column + 1) + ": " +
+                    message;
     }
     std::string first;
 };
@@ -198,6 +202,8 @@
     if (p.has_idle_boots()) o.idle_boots = range("idle_boots", p.idle_boots(), 0.1, 1000);
     return o;
 }
-Operator load_operator(const std::string& file) { return parse_operator(read_file(file), file); }
+Operator load_operator(const std::string& file) {
+    return parse_operator(read_file(file), file);
+}
 
 }  // namespace coralhitch::config
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -16,7 +16,9 @@
 constexpr double types_reports = 20;
 // After giving way, a controller keeps its leadership for this many worker leases, even if it hears nobody.
 constexpr double resign_leases = 4;
-http::Response packed(std::string body) { return {200, std::move(body), "application/msgpack"}; }
+http::Response packed(std::string body) {
+    return {200, std::move(body), "application/msgpack"};
+}
 }  // namespace
 
 Controller::Controller(loop::Timers& timers, http::Requester& http, const config::Settings& settings,
@@ -45,8 +47,8 @@
 }
 
 void Controller::won(std::uint64_t version) {
-    Context c{timers_, http_,    settings_, state_, election_, cloud_, planner_, metrics_,
-              types_,  [this] { return give_way(); }};
+    Context c{timers_, http_,    settings_, state_, election_,
+              cloud_,  planner_, metrics_,  types_, [this] { return give_way(); }};
     leader_ = std::make_shared<Leader>(std::move(c), version, random_());
     leader_->start();
     metrics_.event("won");
@@ -58,7 +60,8 @@
     leader_.reset();
 }
 bool Controller::give_way() {
-    if (last_resigned_ >= 0 && timers_.now() - last_resigned_ < settings_.lease_s * resign_leases) return false;
+    if (last_resigned_ >= 0 && timers_.now() - last_resigned_ < settings_.lease_s * resign_leases)
+        return false;
     for (auto& [label, p] : peers_) {
         bool fresh = p.heard >= 0 && timers_.now() - p.heard < settings_.report_s * peer_fresh_reports;
         if (!fresh || !p.last.state_ok) continue;
@@ -79,7 +82,8 @@
     // Users are better served by a controller that reaches the state service. If none does, going away and
     // coming back slowly would only add to the outage.
     for (auto& [label, p] : peers_)
-        if (p.heard >= 0 && timers_.now() - p.heard < settings_.report_s * peer_fresh_reports && p.last.state_ok)
+        if (p.heard >= 0 && timers_.now() - p.heard < settings_.report_s * peer_fresh_reports &&
+            p.last.state_ok)
             return false;
     return true;
 }
@@ -253,7 +257,8 @@
     } else if (r.target == wire::peer_job_path) {
         if (auto q = wire::unpack_peer<wire::PeerJobQuery>(r.body)) {
             auto c = leader_ ? leader_->counts(q->id) : std::nullopt;
-            return reply(packed(wire::pack_peer(wire::PeerJobCounts{c.has_value(), c ? c->done : 0, c ? c->running : 0})));
+            return reply(packed(
+                wire::pack_peer(wire::PeerJobCounts{c.has_value(), c ? c->done : 0, c ? c->running : 0})));
         }
     } else if (r.target == wire::peer_cancelled_path) {
         if (auto q = wire::unpack_peer<wire::PeerCancelled>(r.body)) {
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -12,8 +12,8 @@
 
 class Controller : public api::Surroundings {
   public:
-    Controller(loop::Timers& timers, http::Requester& http, const config::Settings& settings, Planner& planner,
-               std::uint64_t seed);
+    Controller(loop::Timers& timers, http::Requester& http, const config::Settings& settings,
+               Planner& planner, std::uint64_t seed);
     ~Controller() override;
     void start();
     void serve(http::Request request, http::Reply reply);       // users, workers, health, metrics
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -70,20 +70,23 @@
 }
 void Leader::load() {
     c_.state.list(keys::jobs, Rank::write, guarded([this](state::Listed jobs) {
-        if (!jobs.ok) return retry_load();
-        c_.state.list(keys::progress, Rank::write, guarded([this, jobs](state::Listed progress) {
-            if (!progress.ok) return retry_load();
-            c_.state.list(keys::machines, Rank::write, guarded([this, jobs, progress](state::Listed machines) {
-                if (!machines.ok) return retry_load();
-                take_all(jobs, progress, machines);
-                watch_jobs(jobs.revision);
-                loaded();
-            }));
-        }));
-    }));
+                      if (!jobs.ok) return retry_load();
+                      c_.state.list(keys::progress, Rank::write,
+                                    guarded([this, jobs](state::Listed progress) {
+                                        if (!progress.ok) return retry_load();
+                                        c_.state.list(keys::machines, Rank::write,
+                                                      guarded([this, jobs, progress](state::Listed machines) {
+                                                          if (!machines.ok) return retry_load();
+                                                          take_all(jobs, progress, machines);
+                                                          watch_jobs(jobs.revision);
+                                                          loaded();
+                                                      }));
+                                    }));
+                  }));
 }
 
-void Leader::take_all(const state::Listed& jobs, const state::Listed& progress, const state::Listed& machines) {
+void Leader::take_all(const state::Listed& jobs, const state::Listed& progress,
+                      const state::Listed& machines) {
     std::lock_guard lock(mutex_);
     for (auto& e : jobs.entries) take_job(e.key.substr(keys::jobs.size()), e.version, e.value);
     for (auto& e : progress.entries) {
@@ -136,38 +139,40 @@
 }
 
 void Leader::watch_jobs(std::uint64_t since) {
-    c_.state.watch(keys::jobs, since, c_.settings.lease_s / 2, guarded([this, since](state::Watched w) {
-        if (w.status == state::Watched::Status::too_old) return reread_jobs();
-        if (w.status == state::Watched::Status::failed) {
-            c_.timers.after(c_.settings.report_s / 10, guarded([this, since] { watch_jobs(since); }));
-            return;
-        }
-        auto next = std::max(since, w.events.revision);
-        {
-            std::lock_guard lock(mutex_);
-            for (auto& e : w.events.events)
-                if (e.value) take_job(e.key.substr(keys::jobs.size()), e.version, *e.value);
-            table_.seen_revision(next);
-        }
-        if (!w.events.events.empty()) plan_soon();
-        flush_all();
-        // A short pause lets changes come together, so that watching costs few requests under load.
-        c_.timers.after(c_.settings.report_s / 60, guarded([this, next] { watch_jobs(next); }));
-    }));
+    c_.state.watch(
+        keys::jobs, since, c_.settings.lease_s / 2, guarded([this, since](state::Watched w) {
+            if (w.status == state::Watched::Status::too_old) return reread_jobs();
+            if (w.status == state::Watched::Status::failed) {
+                c_.timers.after(c_.settings.report_s / 10, guarded([this, since] { watch_jobs(since); }));
+                return;
+            }
+            auto next = std::max(since, w.events.revision);
+            {
+                std::lock_guard lock(mutex_);
+                for (auto& e : w.events.events)
+                    if (e.value) take_job(e.key.substr(keys::jobs.size()), e.version, *e.value);
+                table_.seen_revision(next);
+            }
+            if (!w.events.events.empty()) plan_soon();
+            flush_all();
+            // A short pause lets changes come together, so that watching costs few requests under load.
+            c_.timers.after(c_.settings.report_s / 60, guarded([this, next] { watch_jobs(next); }));
+        }));
 }
 void Leader::reread_jobs() {
     c_.state.list(keys::jobs, Rank::write, guarded([this](state::Listed l) {
-        if (!l.ok) {
-            c_.timers.after(c_.settings.report_s / 5, guarded([this] { reread_jobs(); }));
-            return;
-        }
-        {
-            std::lock_guard lock(mutex_);
-            for (auto& e : l.entries) take_job(e.key.substr(keys::jobs.size()), e.version, e.value);
-        }
-        plan_soon();
-        watch_jobs(l.revision);
-    }));
+                      if (!l.ok) {
+                          c_.timers.after(c_.settings.report_s / 5, guarded([this] { reread_jobs(); }));
+                          return;
+                      }
+                      {
+                          std::lock_guard lock(mutex_);
+                          for (auto& e : l.entries)
+                              take_job(e.key.substr(keys::jobs.size()), e.version, e.value);
+                      }
+                      plan_soon();
+                      watch_jobs(l.revision);
+                  }));
 }
 
 void Leader::cancelled(const std::string& id, std::uint64_t version) {
@@ -286,8 +291,8 @@
         picture_.stored(end.task.job);  // the job is over and stored
         return;
     }
-    spdlog::debug("task {} attempt {} left {}: reported {} cause {}", end.task.str(), end.attempt, end.machine,
-                  end.reported, static_cast<int>(end.cause));
+    spdlog::debug("task {} attempt {} left {}: reported {} cause {}", end.task.str(), end.attempt,
+                  end.machine, end.reported, static_cast<int>(end.cause));
     if (end.stray) --e->strays;
     auto a = e->active.find(end.task.index);
     bool ours = a != e->active.end() && a->second.machine == end.machine && a->second.attempt == end.attempt;
@@ -311,14 +316,19 @@
     if (end.cause == Cause::done) picture_.stored(end.task.job, {end.task.index});
     if (!ours) return;
     switch (end.cause) {
-        case Cause::error: task_error(*e, end); break;
+        case Cause::error:
+            task_error(*e, end);
+            break;
         case Cause::no_room:
         case Cause::busy:
             // The picture of this machine was wrong: let reports mend it first.
             if (auto* m = picture_.find(end.machine)) m->avoid_until = now() + c_.settings.report_s;
             break;
-        case Cause::unknown: e->not_before = now() + c_.settings.report_s; break;
-        default: break;
+        case Cause::unknown:
+            e->not_before = now() + c_.settings.report_s;
+            break;
+        default:
+            break;
     }
     // A gang that lost a task is stopped whole; its next attempt starts when all of the old one is gone.
     if (gang && !e->all_done()) stop_active(end.task.job, *e, placement::grace_of(spec));
@@ -359,7 +369,8 @@
     std::vector<std::pair<wire::TaskId, double>> stops;
     for (auto& [id, i] : m.tasks)
         if (i.spec && !i.stop && (i.spec->checkpoint_s > 0 || i.spec->kind == Kind::service))
-            stops.emplace_back(id, std::min(placement::grace_of(*i.spec), std::max(0.0, m.notice_until - now())));
+            stops.emplace_back(id,
+                               std::min(placement::grace_of(*i.spec), std::max(0.0, m.notice_until - now())));
     for (auto& [id, grace] : stops) {
         auto* e = table_.find(id.job);
         if (e && e->spec->kind == Kind::gang)
@@ -393,29 +404,29 @@
     auto token = m.token;
     std::string id = m.id;
     auto body = wire::direct_commands(token, m.session, commands);
-    c_.http.send(
-        m.addr, {"POST", std::string(wire::paths::commands), body}, c_.settings.report_s * 0.7,
-        guarded([this, id, token, commands](std::optional<http::Response> r) {
-            bool executed = r && r->status == 200, refused = r && (r->status == 409 || r->status == 400);
-            bool first_session = false;
-            if (executed || refused) try {
-                    auto report = wire::parse_report(r->body);
-                    auto* before = picture_.find(id);
-                    first_session = before && before->session < report.session;
-                    if (report.machine == id) hear(report, fleet::Via::direct);
-                } catch (const wire::Malformed& x) {
-                    spdlog::info("machine {}: {}", id, x.what());
-                }
-            std::lock_guard lock(mutex_);
-            auto* m = picture_.find(id);
-            if (!m) return;
-            picture_.direct_done(*m, commands, token, executed || refused);
-            // A 409 told the session: ask again at once, so that the machine settles.
-            if (refused && first_session && !m->settled)
-                c_.timers.after(0, guarded([this, id] {
-                    if (auto* again = picture_.find(id)) probe(*again);
-                }));
-        }));
+    c_.http.send(m.addr, {"POST", std::string(wire::paths::commands), body}, c_.settings.report_s * 0.7,
+                 guarded([this, id, token, commands](std::optional<http::Response> r) {
+                     bool executed = r && r->status == 200,
+                          refused = r && (r->status == 409 || r->status == 400);
+                     bool first_session = false;
+                     if (executed || refused) try {
+                             auto report = wire::parse_report(r->body);
+                             auto* before = picture_.find(id);
+                             first_session = before && before->session < report.session;
+                             if (report.machine == id) hear(report, fleet::Via::direct);
+                         } catch (const wire::Malformed& x) {
+                             spdlog::info("machine {}: {}", id, x.what());
+                         }
+                     std::lock_guard lock(mutex_);
+                     auto* m = picture_.find(id);
+                     if (!m) return;
+                     picture_.direct_done(*m, commands, token, executed || refused);
+                     // A 409 told the session: ask again at once, so that the machine settles.
+                     if (refused && first_session && !m->settled)
+                         c_.timers.after(0, guarded([this, id] {
+                                             if (auto* again = picture_.find(id)) probe(*again);
+                                         }));
+                 }));
 }
 
 void Leader::check_machines() {
@@ -493,17 +504,19 @@
     auto* m = picture_.find(id);
     if (!m) return;
     auto t = leader_txn();
-    t.changes.push_back({keys::machine(id), wire::stored(wire::MachineRecord{m->addr, m->type, m->zone, m->spot, true}), 0});
+    t.changes.push_back(
+        {keys::machine(id), wire::stored(wire::MachineRecord{m->addr, m->type, m->zone, m->spot, true}), 0});
     c_.state.txn(std::move(t), Rank::write, guarded([this, id](Committed c) {
-        auto* m = picture_.find(id);
-        if (!m) return;
-        if (c.status != Committed::Status::committed) {
-            c_.timers.after(c_.settings.report_s / 3, guarded([this, id] { store_condemned(id); }));
-            return;
-        }
-        m->deletable = true;
-        delete_condemned();
-    }));
+                     auto* m = picture_.find(id);
+                     if (!m) return;
+                     if (c.status != Committed::Status::committed) {
+                         c_.timers.after(c_.settings.report_s / 3,
+                                         guarded([this, id] { store_condemned(id); }));
+                         return;
+                     }
+                     m->deletable = true;
+                     delete_condemned();
+                 }));
 }
 
 void Leader::delete_condemned() {
@@ -515,26 +528,26 @@
     if (ids.empty()) return;
     removing_ = true;
     c_.cloud.remove(ids, guarded([this, ids](bool ok) {
-        removing_ = false;
-        if (!ok) {
-            remove_retry_ = now() + c_.settings.report_s / 3;
-            return;
-        }
-        {
-            std::lock_guard lock(mutex_);
-            for (auto& id : ids) {
-                auto* m = picture_.find(id);
-                if (!m) continue;
-                if (m->stored || m->storing) keys_to_drop_.insert(keys::machine(id));
-                // Proof: by the time of the answer the machine and everything on it are gone.
-                for (auto& e : picture_.removed(id)) handle_end(e);
-            }
-        }
-        settled_check();
-        plan_soon();
-        drop_keys();
-        delete_condemned();
-    }));
+                        removing_ = false;
+                        if (!ok) {
+                            remove_retry_ = now() + c_.settings.report_s / 3;
+                            return;
+                        }
+                        {
+                            std::lock_guard lock(mutex_);
+                            for (auto& id : ids) {
+                                auto* m = picture_.find(id);
+                                if (!m) continue;
+                                if (m->stored || m->storing) keys_to_drop_.insert(keys::machine(id));
+                                // Proof: by the time of the answer the machine and everything on it are gone.
+                                for (auto& e : picture_.removed(id)) handle_end(e);
+                            }
+                        }
+                        settled_check();
+                        plan_soon();
+                        drop_keys();
+                        delete_condemned();
+                    }));
 }
 
 void Leader::drop_keys() {
@@ -548,10 +561,10 @@
     for (auto& ch : t.changes) dropped.push_back(ch.key);
     dropping_ = true;
     c_.state.txn(std::move(t), Rank::background, guarded([this, dropped](Committed c) {
-        dropping_ = false;
-        if (c.status == Committed::Status::committed)
-            for (auto& k : dropped) keys_to_drop_.erase(k);
-    }));
+                     dropping_ = false;
+                     if (c.status == Committed::Status::committed)
+                         for (auto& k : dropped) keys_to_drop_.erase(k);
+                 }));
 }
 
 // A machine is stored, and that confirmed, before the first `run` goes to it: whoever leads next must know
@@ -567,30 +580,31 @@
             if (t.changes.size() >= c_.settings.txn_ops) break;
             m.storing = true;
             ids.push_back(id);
-            t.changes.push_back(
-                {keys::machine(id), wire::stored(wire::MachineRecord{m.addr, m.type, m.zone, m.spot, false}), 0});
+            t.changes.push_back({keys::machine(id),
+                                 wire::stored(wire::MachineRecord{m.addr, m.type, m.zone, m.spot, false}),
+                                 0});
         }
     }
     if (ids.empty()) return;
     storing_machines_ = true;
     c_.state.txn(std::move(t), Rank::write, guarded([this, ids](Committed c) {
-        storing_machines_ = false;
-        if (c.status != Committed::Status::committed) return;  // the next tick tries again
-        for (auto& id : ids) {
-            auto* m = picture_.find(id);
-            if (!m) {
-                keys_to_drop_.insert(keys::machine(id));  // deleted meanwhile
-                continue;
-            }
-            {
-                std::lock_guard lock(mutex_);
-                m->stored = true;
-                for (auto& [task, i] : m->tasks) i.ready = true;
-            }
-            flush(*m);
-        }
-        store_machines();
-    }));
+                     storing_machines_ = false;
+                     if (c.status != Committed::Status::committed) return;  // the next tick tries again
+                     for (auto& id : ids) {
+                         auto* m = picture_.find(id);
+                         if (!m) {
+                             keys_to_drop_.insert(keys::machine(id));  // deleted meanwhile
+                             continue;
+                         }
+                         {
+                             std::lock_guard lock(mutex_);
+                             m->stored = true;
+                             for (auto& [task, i] : m->tasks) i.ready = true;
+                         }
+                         flush(*m);
+                     }
+                     store_machines();
+                 }));
 }
 
 void Leader::list_hosts() {
@@ -608,9 +622,9 @@
                 // The list lags: what is known to be gone stays gone.
                 if (picture_.is_gone(h.id)) continue;
                 auto* known = picture_.find(h.id);
-                auto& m = known ? *known
-                                : picture_.add(h.id, h.addr, h.type, h.zone, h.spot, Machine::Life::booting,
-                                               now());
+                auto& m =
+                    known ? *known
+                          : picture_.add(h.id, h.addr, h.type, h.zone, h.spot, Machine::Life::booting, now());
                 if (!known) m.created = now() - h.age_s;
                 if (h.state == wire::HostState::failed && m.life != Machine::Life::condemned) {
                     condemn(m, "has failed");
@@ -661,12 +675,13 @@
             keys_to_drop_.insert(key);
     }
     c_.state.txn(std::move(t), Rank::write, guarded([this, id](Committed c) {
-        if (c.status != Committed::Status::committed) return stored_failed(id, c);
-        std::lock_guard lock(mutex_);
-        if (auto* e = table_.find(id)) spdlog::debug("job {} is over after {} tasks", id, e->done_count);
-        picture_.stored(id);
-        table_.erase(id, c.revision);
-    }));
+                     if (c.status != Committed::Status::committed) return stored_failed(id, c);
+                     std::lock_guard lock(mutex_);
+                     if (auto* e = table_.find(id))
+                         spdlog::debug("job {} is over after {} tasks", id, e->done_count);
+                     picture_.stored(id);
+                     table_.erase(id, c.revision);
+                 }));
 }
 
 void Leader::store_blocks(const std::string& id, jobs::Entry& e) {
@@ -683,16 +698,17 @@
     }
     for (auto b : blocks) t.changes.push_back({keys::progress_of(id, b), table_.block_value(e, b), 0});
     c_.state.txn(std::move(t), Rank::write, guarded([this, id, tasks, blocks](Committed c) {
-        if (c.status != Committed::Status::committed) return stored_failed(id, c);
-        std::lock_guard lock(mutex_);
-        auto* e = table_.find(id);
-        if (!e) return;
-        e->writing = false;
-        e->retry_at = now() + c_.settings.report_s / 6;  // tasks that end together are stored together
-        for (auto task : tasks) e->unstored.erase(task);
-        e->blocks.insert(blocks.begin(), blocks.end());
-        picture_.stored(id, tasks);
-    }));
+                     if (c.status != Committed::Status::committed) return stored_failed(id, c);
+                     std::lock_guard lock(mutex_);
+                     auto* e = table_.find(id);
+                     if (!e) return;
+                     e->writing = false;
+                     e->retry_at =
+                         now() + c_.settings.report_s / 6;  // tasks that end together are stored together
+                     for (auto task : tasks) e->unstored.erase(task);
+                     e->blocks.insert(blocks.begin(), blocks.end());
+                     picture_.stored(id, tasks);
+                 }));
 }
 
 void Leader::stored_failed(const std::string& id, const Committed& c) {
@@ -705,20 +721,21 @@
     // Cancelled by some controller, or stored by a transaction whose answer was lost: read, then decide.
     e->writing = true;
     c_.state.get(keys::job(id), Rank::write, guarded([this, id](state::Found f) {
-        std::lock_guard lock(mutex_);
-        auto* e = table_.find(id);
-        if (!e) return;
-        e->writing = false;
-        if (!f.ok) {
-            e->retry_at = now() + c_.settings.report_s / 10;
-        } else if (f.entry) {
-            take_job(id, f.entry->version, f.entry->value);
-        } else {
-            // Only a leader removes the key, and only this one leads: the lost transaction was executed.
-            picture_.stored(id);
-            table_.erase(id, e->version);
-        }
-    }));
+                     std::lock_guard lock(mutex_);
+                     auto* e = table_.find(id);
+                     if (!e) return;
+                     e->writing = false;
+                     if (!f.ok) {
+                         e->retry_at = now() + c_.settings.report_s / 10;
+                     } else if (f.entry) {
+                         take_job(id, f.entry->version, f.entry->value);
+                     } else {
+                         // Only a leader removes the key, and only this one leads: the lost transaction was
+                         // executed.
+                         picture_.stored(id);
+                         table_.erase(id, e->version);
+                     }
+                 }));
 }
 
 // --- Plans ---------------------------------------------------------------------------------------------
@@ -748,9 +765,9 @@
     double gap = c_.settings.report_s * plan_gap_reports;
     double wait = std::max(0.0, last_plan_ + gap - now());
     c_.timers.after(wait, guarded([this] {
-        plan_wanted_ = false;
-        plan();
-    }));
+                        plan_wanted_ = false;
+                        plan();
+                    }));
 }
 
 void Leader::plan() {
@@ -759,7 +776,8 @@
     planning_ = true;
     last_plan_ = now();
     auto plan = std::make_shared<Plan>();
-    plan->with_capacity = now() - last_capacity_ > c_.settings.report_s * capacity_reports && !c_.types.empty();
+    plan->with_capacity =
+        now() - last_capacity_ > c_.settings.report_s * capacity_reports && !c_.types.empty();
     if (plan->with_capacity) {
         last_capacity_ = now();
         plan->fleet = rentals();
@@ -852,8 +870,7 @@
         for (int k = 0; k < r.count; ++k) {
             auto& [type, zone, spot] = r.pool;
             for (auto& t : c_.types)
-                if (t.name == type)
-                    in.machines.push_back({name, type, zone, spot, true, t.room, t.room});
+                if (t.name == type) in.machines.push_back({name, type, zone, spot, true, t.room, t.room});
         }
     for (auto& [pool, until] : refused_)
         if (until > now()) in.refused.insert(pool);
@@ -882,11 +899,13 @@
     }
 }
 
-bool Leader::may_start(jobs::Entry& e, std::uint32_t task, Machine& m, const std::map<std::string, int>& zones) {
+bool Leader::may_start(jobs::Entry& e, std::uint32_t task, Machine& m,
+                       const std::map<std::string, int>& zones) {
     auto& spec = *e.spec;
     return !e.cancelled && e.strays == 0 && !e.is_done(task) && !e.active.contains(task) && m.usable(now()) &&
            !m.has_unknown() && !m.tasks.contains({spec.id, task}) && m.free().holds(spec.need) &&
-           placement::type_allowed(spec, m.type, m.zone, m.spot) && placement::zone_allowed(spec, zones, m.zone);
+           placement::type_allowed(spec, m.type, m.zone, m.spot) &&
+           placement::zone_allowed(spec, zones, m.zone);
 }
 
 // Every start is checked again: since the snapshot, reports and cancellations have come in.
@@ -984,21 +1003,22 @@
     r.asking = true;
     auto& [type, zone, spot] = r.pool;
     c_.cloud.rent(name, type, zone, spot, r.count, guarded([this, name](cloud::Rented out) {
-        auto it = rentals_.find(name);
-        if (it == rentals_.end()) return;
-        auto& r = it->second;
-        r.asking = false;
-        if (out.status == cloud::Rented::Status::failed) return;  // the next tick asks again
-        if (static_cast<int>(out.machines.size()) < r.count)
-            refused_[r.pool] = now() + c_.settings.report_s * refused_reports;
-        {
-            std::lock_guard lock(mutex_);
-            auto& [type, zone, spot] = r.pool;
-            for (auto& id : out.machines)
-                if (!picture_.is_gone(id)) picture_.add(id, "", type, zone, spot, Machine::Life::booting, now());
-        }
-        rentals_.erase(it);
-    }));
+                      auto it = rentals_.find(name);
+                      if (it == rentals_.end()) return;
+                      auto& r = it->second;
+                      r.asking = false;
+                      if (out.status == cloud::Rented::Status::failed) return;  // the next tick asks again
+                      if (static_cast<int>(out.machines.size()) < r.count)
+                          refused_[r.pool] = now() + c_.settings.report_s * refused_reports;
+                      {
+                          std::lock_guard lock(mutex_);
+                          auto& [type, zone, spot] = r.pool;
+                          for (auto& id : out.machines)
+                              if (!picture_.is_gone(id))
+                                  picture_.add(id, "", type, zone, spot, Machine::Life::booting, now());
+                      }
+                      rentals_.erase(it);
+                  }));
 }
 
 }  // namespace coralhitch::daemon
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -1,5 +1,6 @@
-// What the controller does while it leads: loads the jobs, settles the machines, places, stores, fences, rents.
-// One object per leadership; it is dropped when leadership ends, and answers that come later find it gone.
+// What the controller does while it leads: loads the jobs, settles the machines, places, stores, fences,
+// rents. One object per leadership; it is dropped when leadership ends, and answers that come later find it
+// gone.
 #pragma once
 #include <deque>
 #include <memory>
@@ -113,7 +114,8 @@
     void fill_capacity(Plan& p);
     void apply(Plan& p);
     void apply_starts(Plan& p, std::set<std::string>& touched);
-    bool may_start(jobs::Entry& e, std::uint32_t task, fleet::Machine& m, const std::map<std::string, int>& zones);
+    bool may_start(jobs::Entry& e, std::uint32_t task, fleet::Machine& m,
+                   const std::map<std::string, int>& zones);
     void rent(const capacity::Rent& r);
     void ask_rental(const std::string& name);
     std::map<std::string, int> zones_of(const jobs::Entry& e);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -18,12 +18,13 @@
 using namespace coralhitch;
 
 void set_up_log() {
-
     auto log = std::make_shared<spdlog::logger>("", std::make_shared<spdlog::sinks::stderr_sink_mt>());
     log->set_pattern("%H:%M:%S.%e %l %v");
     const char* level = std::getenv("LOG_LEVEL");
     std::string name = level ? level : "info";
-    log->set_level(name == "error" ? spdlog::level::err : name == "debug" ? spdlog::level::debug : spdlog::level::info);
+    log->set_level(name == "error"   ? spdlog::level::err
+                   : name == "debug" ? spdlog::level::debug
+                                     : spdlog::level::info);
     spdlog::set_default_logger(log);
 }
 
@@ -45,12 +46,12 @@
     std::random_device device;
     std::uint64_t seed = (std::uint64_t{device()} << 32) ^ device();
     daemon::Controller controller(loop, client, settings, planner, seed);
-    http::Server users(loop, settings.listen, server_limits(settings, 0.6),
-                       [&](http::Request r, http::Reply reply) { controller.serve(std::move(r), std::move(reply)); });
-    http::Server peers(loop, settings.peer_listen, server_limits(settings, 0.05),
-                       [&](http::Request r, http::Reply reply) {
-                           controller.serve_peer(std::move(r), std::move(reply));
-                       });
+    http::Server users(
+        loop, settings.listen, server_limits(settings, 0.6),
+        [&](http::Request r, http::Reply reply) { controller.serve(std::move(r), std::move(reply)); });
+    http::Server peers(
+        loop, settings.peer_listen, server_limits(settings, 0.05),
+        [&](http::Request r, http::Reply reply) { controller.serve_peer(std::move(r), std::move(reply)); });
     spdlog::info("{} of {}: listening on {}", settings.label, settings.zone, settings.listen);
     controller.start();
     loop.run();
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -10,15 +10,20 @@
 }  // namespace
 
 Metrics::Metrics()
-    : requests_(prometheus::BuildCounter().Name("coralhitch_requests_total").Help("Requests answered").Register(
-          registry_)),
-      events_(prometheus::BuildCounter().Name("coralhitch_events_total").Help("What the leader did").Register(
-          registry_)),
+    : requests_(prometheus::BuildCounter()
+                    .Name("coralhitch_requests_total")
+                    .Help("Requests answered")
+                    .Register(registry_)),
+      events_(prometheus::BuildCounter()
+                  .Name("coralhitch_events_total")
+                  .Help("What the leader did")
+                  .Register(registry_)),
       draws_(prometheus::BuildCounter()
                  .Name("coralhitch_placements_total")
                  .Help("Tasks placed, draws, redraws and fallbacks")
                  .Register(registry_)),
-      gauges_(prometheus::BuildGauge().Name("coralhitch_current").Help("Current figures").Register(registry_)),
+      gauges_(
+          prometheus::BuildGauge().Name("coralhitch_current").Help("Current figures").Register(registry_)),
       submit_(prometheus::BuildHistogram()
                   .Name("coralhitch_submit_seconds")
                   .Help("Time to answer a submission")
@@ -30,7 +35,9 @@
                 .Register(registry_)
                 .Add({}, seconds())) {}
 
-std::string Metrics::text() const { return prometheus::TextSerializer().Serialize(registry_.Collect()); }
+std::string Metrics::text() const {
+    return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
 void Metrics::request(const std::string& route, int status) {
     requests_.Add({{"route", route}, {"status", std::to_string(status)}}).Increment();
 }
--- a/src/fleet/picture.cpp
+++ b/src/fleet/picture.cpp
@@ -18,7 +18,8 @@
     return std::any_of(tasks.begin(), tasks.end(), [](auto& t) { return !t.second.spec; });
 }
 
-Picture::Picture(std::uint64_t version, const std::vector<wire::MachineType>& types) : base_(version << token_bits) {
+Picture::Picture(std::uint64_t version, const std::vector<wire::MachineType>& types)
+    : base_(version << token_bits) {
     set_types(types);
 }
 void Picture::set_types(const std::vector<wire::MachineType>& types) {
@@ -217,7 +218,8 @@
     return out;
 }
 
-void Picture::direct_done(Machine& m, const std::vector<Command>& commands, std::uint64_t token, bool answered) {
+void Picture::direct_done(Machine& m, const std::vector<Command>& commands, std::uint64_t token,
+                          bool answered) {
     auto settle = [&](auto& x) {
         --x.direct;
         if (!answered) x.unsure_token = std::max(x.unsure_token, token);
--- a/src/fleet/picture.hpp
+++ b/src/fleet/picture.hpp
@@ -23,13 +23,13 @@
     Spec spec;  // null: a job nobody knows (any more); it is stopped, and its machine gets nothing new
     std::uint64_t attempt = 0;
     wire::TaskState state = wire::TaskState::fetching;
-    bool seen = false;   // a report showed it
-    bool ready = true;   // its machine is stored, so `run` may be sent
+    bool seen = false;  // a report showed it
+    bool ready = true;  // its machine is stored, so `run` may be sent
     bool stop = false;
     bool stray = false;  // a second instance of a task: never wanted, still counted
     double grace_s = 0, placed = 0, running_since = -1, stop_sent = -1;
-    std::uint64_t run_token = 0;     // highest token a `run` went out under
-    std::uint64_t unsure_token = 0;  // highest token of a direct `run` that got no answer
+    std::uint64_t run_token = 0;        // highest token a `run` went out under
+    std::uint64_t unsure_token = 0;     // highest token of a direct `run` that got no answer
     std::uint64_t answer_sequence = 0;  // the report whose answer carried the last `run`
     int direct = 0;                     // direct `run`s under way
 };
@@ -88,7 +88,8 @@
     bool deposed = false;  // the worker has seen the token of a later leader
     bool gone = false;     // the machine is deleted: a late report
     std::vector<End> ends;
-    std::vector<std::pair<wire::TaskId, std::string>> found;  // instances not known before, with their machine
+    std::vector<std::pair<wire::TaskId, std::string>>
+        found;  // instances not known before, with their machine
 };
 
 class Picture {
@@ -99,15 +100,16 @@
 
     void set_types(const std::vector<wire::MachineType>& types);
     Machine* find(const std::string& id);
-    Machine& add(const std::string& id, const std::string& addr, const std::string& type, const std::string& zone,
-                 bool spot, Machine::Life life, double now);
+    Machine& add(const std::string& id, const std::string& addr, const std::string& type,
+                 const std::string& zone, bool spot, Machine::Life life, double now);
     Heard hear(const wire::Report& r, Via via, double now, const Lookup& lookup);
     // Commands for the answer to a report. Without authority only stops that were decided with it.
     std::vector<wire::Command> answer(Machine& m, double now, bool authority);
 
     // Direct commands: what to send now; mark them as under way; what became of them.
     std::vector<wire::Command> direct_now(Machine& m, double now, bool authority);
-    void direct_done(Machine& m, const std::vector<wire::Command>& commands, std::uint64_t token, bool answered);
+    void direct_done(Machine& m, const std::vector<wire::Command>& commands, std::uint64_t token,
+                     bool answered);
 
     Instance& place(Machine& m, const wire::TaskId& task, Spec spec, std::uint64_t attempt, double now);
     void stop(Machine& m, const wire::TaskId& task, double grace_s);
@@ -115,7 +117,8 @@
     void stored(const std::string& job, const std::set<std::uint32_t>& tasks = {});
     // The deletion of the machine was answered: all on it is gone.
     std::vector<End> removed(const std::string& id);
-    // The worker's lease is surely out: all on it is gone, the machine itself may come back with a new session.
+    // The worker's lease is surely out: all on it is gone, the machine itself may come back with a new
+    // session.
     std::vector<End> lease_out(Machine& m);
     bool is_gone(const std::string& id) const { return gone_.contains(id); }
 
--- a/src/http/address.cpp
+++ b/src/http/address.cpp
@@ -13,7 +13,8 @@
     std::uint16_t port = 0;
     auto* first = addr.data() + colon + 1;
     auto* last = addr.data() + addr.size();
-    if (auto [end, ec] = std::from_chars(first, last, port); ec != std::errc() || end != last) return std::nullopt;
+    if (auto [end, ec] = std::from_chars(first, last, port); ec != std::errc() || end != last)
+        return std::nullopt;
     sa.sin_port = htons(port);
     if (inet_pton(AF_INET, addr.substr(0, colon).c_str(), &sa.sin_addr) != 1) return std::nullopt;
     return sa;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -25,7 +25,8 @@
 void Client::send(const std::string& addr, Request request, double timeout_s, Result result) {
     std::string out = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + addr;
     if (!request.body.empty() || request.method == "POST")
-        out += "\r\nContent-Type: " + request.type + "\r\nContent-Length: " + std::to_string(request.body.size());
+        out += "\r\nContent-Type: " + request.type +
+               "\r\nContent-Length: " + std::to_string(request.body.size());
     out += "\r\n\r\n";
     out += request.body;
 
@@ -44,8 +45,8 @@
         id = next_++;
         auto& c = calls_[id];
         c.addr = addr;
-        c.connection =
-            std::make_unique<Connection>(loop_, std::move(fd), HTTP_RESPONSE, Limits{limits_.response, 64 * 1024});
+        c.connection = std::make_unique<Connection>(loop_, std::move(fd), HTTP_RESPONSE,
+                                                    Limits{limits_.response, 64 * 1024});
         c.connection->listen_events([this, id](std::uint32_t e) { on_event(id, e); }, true);
     }
     auto& c = calls_.at(id);
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -10,7 +10,9 @@
 
 namespace coralhitch::http {
 namespace {
-Connection& self(http_parser* p) { return *static_cast<Connection*>(p->data); }
+Connection& self(http_parser* p) {
+    return *static_cast<Connection*>(p->data);
+}
 }  // namespace
 
 Connection::Connection(loop::Loop& loop, loop::Fd fd, http_parser_type type, Limits limits)
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -13,26 +13,34 @@
 namespace {
 const char* reason(int status) {
     switch (status) {
-        case 200: return "OK";
-        case 201: return "Created";
-        case 400: return "Bad Request";
-        case 404: return "Not Found";
-        case 405: return "Method Not Allowed";
-        case 413: return "Payload Too Large";
-        case 421: return "Misdirected Request";
-        case 422: return "Unprocessable Entity";
-        case 429: return "Too Many Requests";
-        case 503: return "Service Unavailable";
-        default: return "Unknown";
+        case 200:
+            return "OK";
+        case 201:
+            return "Created";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 413:
+            return "Payload Too Large";
+        case 421:
+            return "Misdirected Request";
+        case 422:
+            return "Unprocessable Entity";
+        case 429:
+            return "Too Many Requests";
+        case 503:
+            return "Service Unavailable";
+        default:
+            return "Unknown";
     }
 }
 }  // namespace
 
 Server::Server(loop::Loop& loop, const std::string& addr, ServerLimits limits, Handler handler)
-    : loop_(loop),
-      limits_(limits),
-      handler_(std::move(handler)),
-      alive_(std::make_shared<Server*>(this)) {
+    : loop_(loop), limits_(limits), handler_(std::move(handler)), alive_(std::make_shared<Server*>(this)) {
     auto sa = socket_address(addr);
     listener_.reset(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     int on = 1;
@@ -52,7 +60,8 @@
     for (;;) {
         loop::Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!fd) return;  // EAGAIN, or out of descriptors: the next event tries again
-        if (clients_.size() >= limits_.connections) continue;  // shed: closed at once, others are not disturbed
+        if (clients_.size() >= limits_.connections)
+            continue;  // shed: closed at once, others are not disturbed
         int on = 1;
         ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         auto id = next_++;
@@ -90,13 +99,15 @@
         return;
     }
     switch (c.connection->read()) {
-        case Connection::State::closed: return close(id);
+        case Connection::State::closed:
+            return close(id);
         case Connection::State::bad: {
             bool large = c.connection->incoming().too_large;
             c.busy = true;
             return answer(id, {large ? 413 : 400, "{}"}, false);
         }
-        case Connection::State::open: break;
+        case Connection::State::open:
+            break;
     }
     if (c.connection->incoming().complete) return serve(id);
     if (!c.started) {
@@ -122,7 +133,8 @@
     auto& c = it->second;
     std::string out = "HTTP/1.1 " + std::to_string(r.status) + " " + reason(r.status) +
                       "\r\nContent-Type: " + r.type + "\r\nContent-Length: " + std::to_string(r.body.size());
-    if (r.retry_after_s > 0) out += "\r\nRetry-After: " + std::to_string(static_cast<int>(r.retry_after_s + 0.999));
+    if (r.retry_after_s > 0)
+        out += "\r\nRetry-After: " + std::to_string(static_cast<int>(r.retry_after_s + 0.999));
     if (!keep_alive) out += "\r\nConnection: close";
     out += "\r\n\r\n";
     out += r.body;
--- a/src/jobs/table.cpp
+++ b/src/jobs/table.cpp
@@ -27,7 +27,8 @@
     return out;
 }
 
-Table::Table(double value_kb) : block_(std::max<std::size_t>(64, static_cast<std::size_t>(value_kb * 1024))) {}
+Table::Table(double value_kb)
+    : block_(std::max<std::size_t>(64, static_cast<std::size_t>(value_kb * 1024))) {}
 
 Entry* Table::find(const std::string& id) {
     auto it = jobs_.find(id);
--- a/src/jobs/table.hpp
+++ b/src/jobs/table.hpp
@@ -29,8 +29,8 @@
     std::set<std::uint32_t> unstored;  // tasks done whose progress is not stored yet
     std::set<std::size_t> blocks;      // progress blocks that exist at the state service
     bool writing = false;
-    double retry_at = 0;           // storing is tried again then
-    double not_before = 0;         // pause after failures
+    double retry_at = 0;    // storing is tried again then
+    double not_before = 0;  // pause after failures
     int failures = 0;
     std::set<std::string> failed_on;
 
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -17,7 +17,9 @@
     clock_gettime(id, &t);
     return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) * 1e-9;
 }
-[[noreturn]] void fail(const char* what) { throw std::system_error(errno, std::generic_category(), what); }
+[[noreturn]] void fail(const char* what) {
+    throw std::system_error(errno, std::generic_category(), what);
+}
 }  // namespace
 
 void Fd::reset(int fd) {
@@ -35,9 +37,15 @@
         }
     });
 }
-void Loop::refresh() { now_ = now(); }
-double Loop::now() const { return read_clock(CLOCK_MONOTONIC); }
-double Loop::unix_time() const { return read_clock(CLOCK_REALTIME); }
+void Loop::refresh() {
+    now_ = now();
+}
+double Loop::now() const {
+    return read_clock(CLOCK_MONOTONIC);
+}
+double Loop::unix_time() const {
+    return read_clock(CLOCK_REALTIME);
+}
 
 TimerId Loop::after(double seconds, Task task) {
     TimerId id = next_id_++;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -88,7 +88,8 @@
     }
 
   private:
-    // A job is within its team's guarantee if it fits into it together with the team's earlier unfinished jobs.
+    // A job is within its team's guarantee if it fits into it together with the team's earlier unfinished
+    // jobs.
     void guarantees() {
         std::vector<std::size_t> order(in_.jobs.size());
         for (std::size_t j = 0; j < order.size(); ++j) order[j] = j;
@@ -117,7 +118,8 @@
     bool may_displace(std::size_t j, std::size_t victim) const {
         if (j == victim || rank(j) <= rank(victim)) return false;
         if (in_.jobs[j].spec->priority > in_.jobs[victim].spec->priority) return true;
-        return guaranteed_[j] && !guaranteed_[victim] && in_.jobs[j].spec->team != in_.jobs[victim].spec->team;
+        return guaranteed_[j] && !guaranteed_[victim] &&
+               in_.jobs[j].spec->team != in_.jobs[victim].spec->team;
     }
 
     bool team_ok(const wire::Job& job, double tasks) {
@@ -245,7 +247,8 @@
         return std::any_of(fit.begin(), fit.end(),
                            [&](auto m) { return share(spec.need, in_.machines[m].total) > 0.5; });
     }
-    // The load measure: the tasks on the machine; having to fetch the image weighs more than any number of them.
+    // The load measure: the tasks on the machine; having to fetch the image weighs more than any number of
+    // them.
     static double load(const wire::Job& spec, const MachineView& m) {
         constexpr double fetch = 1e3;
         return m.tasks + (m.images.contains(spec.image) ? 0 : fetch);
@@ -253,7 +256,8 @@
     std::optional<std::size_t> two_choices(const wire::Job& spec, const std::vector<std::size_t>& fit) {
         auto k = draw(
             fit.size(), [&](std::size_t i) { return open_room(in_.machines[fit[i]]).holds(spec.need); },
-            [&](std::size_t i) { return load(spec, in_.machines[fit[i]]); }, settings_.op, random_, out_.counts);
+            [&](std::size_t i) { return load(spec, in_.machines[fit[i]]); }, settings_.op, random_,
+            out_.counts);
         return k ? std::optional(fit[*k]) : std::nullopt;
     }
     std::optional<std::size_t> fullest(const wire::Job& spec, const std::vector<std::size_t>& fit) {
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -36,10 +36,10 @@
 };
 struct JobView {
     std::shared_ptr<const wire::Job> spec;
-    double submitted = 0;  // unix seconds
+    double submitted = 0;   // unix seconds
     bool startable = true;  // not cancelled, not pausing, nothing unexplained
     std::vector<std::uint32_t> waiting;
-    std::size_t open = 0;  // tasks not done
+    std::size_t open = 0;              // tasks not done
     std::map<std::string, int> zones;  // where tasks may still be
     int active = 0;
     std::set<std::string> failed_on;
@@ -78,8 +78,8 @@
 bool zone_allowed(const wire::Job& job, const std::map<std::string, int>& zones, const std::string& zone);
 bool team_allows(const config::Team& team, const wire::Room& used, const wire::Room& more);
 double grace_of(const wire::Job& job);
-// Two random choices among `n` machines: draws at random, skips those without room, and returns the one with the
-// least load; after some fruitless rounds, the first that has room.
+// Two random choices among `n` machines: draws at random, skips those without room, and returns the one with
+// the least load; after some fruitless rounds, the first that has room.
 std::optional<std::size_t> draw(std::size_t n, const std::function<bool(std::size_t)>& has_room,
                                 const std::function<double(std::size_t)>& load, const config::Operator& op,
                                 std::mt19937_64& random, Counts& counts);
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -29,7 +29,9 @@
     writes_.set_rate(writes, std::max(1.0, writes));
 }
 
-double Client::timeout() const { return settings_.report_s / 2; }
+double Client::timeout() const {
+    return settings_.report_s / 2;
+}
 
 void Client::submit(Rank rank, Call call) {
     call.deadline = timers_.now() + settings_.report_s * queue_report_periods;
@@ -83,19 +85,20 @@
 }
 
 void Client::get(const std::string& key, Rank rank, std::function<void(Found)> done) {
-    submit(rank, {{"GET", wire::paths::kv(key), {}}, timeout(), 0, 0, [done](std::optional<http::Response> r) {
-                      Found f;
-                      try {
-                          if (r && r->status == 200) f = {true, wire::parse_entry(r->body)};
-                          if (r && r->status == 404) {
-                              wire::parse_revision(r->body);  // a 404 of the service itself, not of a wrong path
-                              f.ok = true;
-                          }
-                      } catch (const Malformed&) {
-                          f = {};
-                      }
-                      done(std::move(f));
-                  }});
+    submit(rank,
+           {{"GET", wire::paths::kv(key), {}}, timeout(), 0, 0, [done](std::optional<http::Response> r) {
+                Found f;
+                try {
+                    if (r && r->status == 200) f = {true, wire::parse_entry(r->body)};
+                    if (r && r->status == 404) {
+                        wire::parse_revision(r->body);  // a 404 of the service itself, not of a wrong path
+                        f.ok = true;
+                    }
+                } catch (const Malformed&) {
+                    f = {};
+                }
+                done(std::move(f));
+            }});
 }
 
 void Client::list(const std::string& prefix, Rank rank, std::function<void(Listed)> done) {
@@ -105,11 +108,7 @@
                        std::function<void(Listed)> done) {
     constexpr int page = 500;
     auto target = wire::paths::kv_list(prefix, after, page);
-    submit(rank, {{"GET", target, {}},
-                  timeout() * 2,
-                  0,
-                  0,
-                  [=, this](std::optional<http::Response> r) {
+    submit(rank, {{"GET", target, {}}, timeout() * 2, 0, 0, [=, this](std::optional<http::Response> r) {
                       try {
                           if (!r || r->status != 200) return done({});
                           auto p = wire::parse_entries(r->body);
@@ -204,13 +203,10 @@
                          }});
 }
 void Client::end_lease(std::uint64_t id, std::function<void(bool)> done) {
-    submit(Rank::lease, {{"DELETE", wire::paths::lease(id), {}},
-                         timeout(),
-                         0,
-                         0,
-                         [done](std::optional<http::Response> r) {
-                             done(r && (r->status < 300 || r->status == 404));
-                         }});
+    submit(Rank::lease,
+           {{"DELETE", wire::paths::lease(id), {}}, timeout(), 0, 0, [done](std::optional<http::Response> r) {
+                done(r && (r->status < 300 || r->status == 404));
+            }});
 }
 
 }  // namespace coralhitch::state
--- a/src/state/client.hpp
+++ b/src/state/client.hpp
@@ -52,7 +52,8 @@
     void get(const std::string& key, Rank rank, std::function<void(Found)> done);
     void list(const std::string& prefix, Rank rank, std::function<void(Listed)> done);
     void txn(wire::Txn t, Rank rank, std::function<void(Committed)> done);
-    void watch(const std::string& prefix, std::uint64_t since, double wait_s, std::function<void(Watched)> done);
+    void watch(const std::string& prefix, std::uint64_t since, double wait_s,
+               std::function<void(Watched)> done);
     void create_lease(double ttl_s, std::function<void(LeaseAnswer)> done);
     void renew_lease(std::uint64_t id, double timeout_s, std::function<void(LeaseAnswer)> done);
     void end_lease(std::uint64_t id, std::function<void(bool)> done);
--- a/src/state/election.cpp
+++ b/src/state/election.cpp
@@ -13,8 +13,8 @@
 constexpr double renewals_per_ttl = 4;
 }  // namespace
 
-Election::Election(loop::Timers& timers, Client& state, const config::Settings& settings, std::uint64_t incarnation,
-                   std::uint64_t seed)
+Election::Election(loop::Timers& timers, Client& state, const config::Settings& settings,
+                   std::uint64_t incarnation, std::uint64_t seed)
     : timers_(timers),
       state_(state),
       settings_(settings),
@@ -27,7 +27,9 @@
     look();
 }
 
-double Election::usable(double sent) const { return sent + ttl_ * (1 - drift - margin_ratio); }
+double Election::usable(double sent) const {
+    return sent + ttl_ * (1 - drift - margin_ratio);
+}
 
 void Election::retry_look() {
     std::uniform_real_distribution<double> jitter(0.5, 1.0);
@@ -62,8 +64,8 @@
         saw(*f.entry);
         try {
             auto r = wire::parse_leader_record(f.entry->value);
-            // An earlier process of this controller held the key. It is dead, since this one runs in its place;
-            // what it sent and is still under way is fenced by token and condition.
+            // An earlier process of this controller held the key. It is dead, since this one runs in its
+            // place; what it sent and is still under way is fenced by token and condition.
             if (r.label == settings_.label && r.incarnation != incarnation_ && f.entry->lease) {
                 spdlog::info("election: ending the lease of this controller's earlier process");
                 return state_.end_lease(f.entry->lease, [this](bool) { retry_look(); });
@@ -102,7 +104,8 @@
 void Election::claim(LeaseAnswer lease) {
     wire::Txn t;
     t.conditions.push_back({keys::leader, 0});
-    t.changes.push_back({keys::leader, wire::stored(wire::LeaderRecord{settings_.label, incarnation_}), lease.id});
+    t.changes.push_back(
+        {keys::leader, wire::stored(wire::LeaderRecord{settings_.label, incarnation_}), lease.id});
     state_.txn(std::move(t), Rank::lease, [this, lease](Committed c) {
         if (role_ != Role::campaigning) return;
         if (c.status == Committed::Status::committed) return win(c.revision, lease);
@@ -114,15 +117,16 @@
     });
 }
 
-// The answer to the claim was lost. The key tells whether it was executed; while it may still be, the lease is
-// ended first, so that a late claim finds no lease.
+// The answer to the claim was lost. The key tells whether it was executed; while it may still be, the lease
+// is ended first, so that a late claim finds no lease.
 void Election::check_claim(LeaseAnswer lease) {
     state_.get(keys::leader, Rank::lease, [this, lease](Found f) {
         if (role_ != Role::campaigning) return;
         if (f.ok && f.entry) {
             try {
                 auto r = wire::parse_leader_record(f.entry->value);
-                if (r.incarnation == incarnation_ && f.entry->lease == lease.id) return win(f.entry->version, lease);
+                if (r.incarnation == incarnation_ && f.entry->lease == lease.id)
+                    return win(f.entry->version, lease);
             } catch (const wire::Malformed&) {
             }
         }
--- a/src/state/election.hpp
+++ b/src/state/election.hpp
@@ -1,4 +1,5 @@
-// Leadership: a key under a lease. The version of that key is the fencing token of everything the leader does.
+// Leadership: a key under a lease. The version of that key is the fencing token of everything the leader
+// does.
 #pragma once
 #include <random>
 
--- a/src/state/keys.hpp
+++ b/src/state/keys.hpp
@@ -5,15 +5,22 @@
 namespace coralhitch::state::keys {
 
 inline const std::string leader = "leader";
-inline const std::string types = "types";      // machine types, for controllers that start while the cloud is down
-inline const std::string jobs = "job/";        // live jobs, cancelled ones included until their tasks are gone
-inline const std::string finals = "final/";    // jobs that are over, for ever
-inline const std::string progress = "prog/";   // finished tasks of live jobs, in blocks
-inline const std::string machines = "mach/";   // machines that may hold tasks
+inline const std::string types =
+    "types";                             // machine types, for controllers that start while the cloud is down
+inline const std::string jobs = "job/";  // live jobs, cancelled ones included until their tasks are gone
+inline const std::string finals = "final/";   // jobs that are over, for ever
+inline const std::string progress = "prog/";  // finished tasks of live jobs, in blocks
+inline const std::string machines = "mach/";  // machines that may hold tasks
 
-inline std::string job(const std::string& id) { return jobs + id; }
-inline std::string final(const std::string& id) { return finals + id; }
-inline std::string machine(const std::string& id) { return machines + id; }
+inline std::string job(const std::string& id) {
+    return jobs + id;
+}
+inline std::string final(const std::string& id) {
+    return finals + id;
+}
+inline std::string machine(const std::string& id) {
+    return machines + id;
+}
 inline std::string progress_of(const std::string& id, std::size_t block) {
     return progress + id + "/" + std::to_string(block);
 }
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -17,7 +17,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t leader_version = 0;  // the newest leadership the sender knows of
     std::string leader;
-    bool state_ok = false;      // the state service answered the sender lately
+    bool state_ok = false;  // the state service answered the sender lately
     MSGPACK_DEFINE(label, incarnation, leader_version, leader, state_ok)
 };
 struct PeerJobQuery {
--- a/src/wire/protocol.cpp
+++ b/src/wire/protocol.cpp
@@ -13,7 +13,8 @@
 template <class E, std::size_t N>
 using Names = std::array<std::pair<E, std::string_view>, N>;
 
-constexpr Names<Kind, 3> kind_names{{{Kind::array, "batch"}, {Kind::gang, "gang"}, {Kind::service, "service"}}};
+constexpr Names<Kind, 3> kind_names{
+    {{Kind::array, "batch"}, {Kind::gang, "gang"}, {Kind::service, "service"}}};
 constexpr Names<Priority, 4> priority_names{{{Priority::production, "critical"},
                                              {Priority::high, "high"},
                                              {Priority::normal, "normal"},
@@ -93,7 +94,9 @@
     if (d < 0) bad(field, "is negative");
     return d;
 }
-double amount(const json& j, const char* field) { return as_amount(need(j, field), field); }
+double amount(const json& j, const char* field) {
+    return as_amount(need(j, field), field);
+}
 // Counts, versions and tokens reach up to 2^64 and never pass through a double.
 std::uint64_t count(const json& j, const char* field) {
     auto& v = need(j, field);
@@ -185,12 +188,16 @@
     return b;
 }
 
-std::string dumped(const json& j) { return j.dump(-1, ' ', false, json::error_handler_t::replace); }
+std::string dumped(const json& j) {
+    return j.dump(-1, ' ', false, json::error_handler_t::replace);
+}
 
 }  // namespace
 
 namespace paths {
-std::string kv(std::string_view key) { return "/kv/" + std::string(key); }
+std::string kv(std::string_view key) {
+    return "/kv/" + std::string(key);
+}
 std::string kv_list(std::string_view prefix, std::string_view after, int limit) {
     std::string p = "/kv?starts=" + std::string(prefix);
     if (!after.empty()) p += "&since=" + std::string(after);
@@ -200,8 +207,12 @@
     return "/watch?starts=" + std::string(prefix) + "&since=" + std::to_string(since) +
            "&hold_ms=" + std::to_string(wait_ms);
 }
-std::string lease(std::uint64_t id) { return "/holds/" + std::to_string(id); }
-std::string lease_renew(std::uint64_t id) { return lease(id) + "/renew"; }
+std::string lease(std::uint64_t id) {
+    return "/holds/" + std::to_string(id);
+}
+std::string lease_renew(std::uint64_t id) {
+    return lease(id) + "/renew";
+}
 std::string host_list(std::string_view after, int limit) {
     std::string p = "/hosts?limit=" + std::to_string(limit);
     if (!after.empty()) p += "&since=" + std::string(after);
@@ -216,7 +227,9 @@
         if (c < '0' || c > '9') return false;
     return true;
 }
-Job parse_job(std::string_view body) { return job_of(parse_object(body)); }
+Job parse_job(std::string_view body) {
+    return job_of(parse_object(body));
+}
 std::optional<std::string> job_id_of(std::string_view body) {
     json j = json::parse(body, nullptr, false);
     if (!j.is_object()) return std::nullopt;
@@ -230,7 +243,9 @@
     if (s.running) j["running"] = *s.running;
     return dumped(j);
 }
-std::string error_body(std::string_view t) { return dumped(json{{"error", t}}); }
+std::string error_body(std::string_view t) {
+    return dumped(json{{"error", t}});
+}
 
 Report parse_report(std::string_view body) {
     json j = parse_object(body);
@@ -311,7 +326,8 @@
                          {"reefs", t.zones}});
     return dumped(json{{"hulls", a}});
 }
-std::string rent_request(std::string_view name, std::string_view type, std::string_view zone, bool spot, int n) {
+std::string rent_request(std::string_view name, std::string_view type, std::string_view zone, bool spot,
+                         int n) {
     return dumped(
         json{{"charter", name}, {"hull", type}, {"reef", zone}, {"driftwood", spot}, {"how_many", n}});
 }
@@ -388,13 +404,19 @@
     }
     return dumped(json{{"if", conditions}, {"then", changes}});
 }
-std::uint64_t parse_revision(std::string_view body) { return count(parse_object(body), "epoch"); }
+std::uint64_t parse_revision(std::string_view body) {
+    return count(parse_object(body), "epoch");
+}
 Conflict parse_conflict(std::string_view body) {
     json j = parse_object(body);
     return {texts(list(j, "failed"), "failed")};
 }
-std::string lease_request(std::uint64_t ttl_ms) { return dumped(json{{"ttl_ms", ttl_ms}}); }
-std::uint64_t parse_lease(std::string_view body) { return count(parse_object(body), "mooring"); }
+std::string lease_request(std::uint64_t ttl_ms) {
+    return dumped(json{{"ttl_ms", ttl_ms}});
+}
+std::uint64_t parse_lease(std::string_view body) {
+    return count(parse_object(body), "mooring");
+}
 
 std::string stored(const JobRecord& r) {
     return dumped(json{{"job", job_json(r.job)}, {"submitted", r.submitted}, {"cancelled", r.cancelled}});
--- a/src/wire/protocol.hpp
+++ b/src/wire/protocol.hpp
@@ -53,7 +53,8 @@
 
 // Cloud
 std::vector<MachineType> parse_types(std::string_view body);
-std::string rent_request(std::string_view name, std::string_view type, std::string_view zone, bool spot, int count);
+std::string rent_request(std::string_view name, std::string_view type, std::string_view zone, bool spot,
+                         int count);
 std::vector<std::string> parse_rented(std::string_view body);
 std::string delete_request(std::span<const std::string> machines);
 struct HostPage {
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,153 @@
+// Settings: what is taken, and complaints that name the field.
+#include <gtest/gtest.h>
+
+#include "api/users.hpp"
+#include "config/settings.hpp"
+
+namespace coralhitch::config {
+namespace {
+
+std::string good() {
+    return R"(label = "berth-0"
+domain = "z1"
+public_addr = "10.0.0.1:8080"
+peer_listen = "10.0.0.1:8081"
+later = "ignored"
+[[seeds]]
+label = "berth-1"
+domain = "z2"
+peer_addr = "10.0.0.2:8081"
+[endpoints]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[cluster]
+nodes = 3
+zones = ["z1", "z2"]
+skew_ms = 25.0
+[[cluster.teams]]
+name = "t"
+cpus = 0.0
+cpus_max = 8.0
+gpus = 8
+gpus_max = 16.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 31.0
+gang_wait_s = 50.0
+gang_peer_s = 5.0
+cancel_s = 61.0
+[cluster.state]
+rps = 200.0
+write_rps = 40.0
+value_kb = 16.0
+txn_ops = 24
+[cluster.cloud]
+rps = 10.0
+list_lag_s = 10.0
+[cluster.limits]
+core_share = 0.08
+memory_mb = 136.0
+sockets = 2500
+)";
+}
+
+TEST(Settings, AreRead) {
+    auto s = parse_settings(good(), "f");
+    EXPECT_EQ(s.peers.at(0).addr, "10.0.0.2:8081");
+    EXPECT_EQ(s.teams.at(0).gpus, 8);
+    EXPECT_EQ(s.txn_ops, 24u);
+}
+TEST(Settings, ComplaintsNameFileAndField) {
+    struct Case {
+        const char *from, *to, *says;
+    };
+    const Case cases[] = {
+        {"label = \"berth-0\"\n", "", "'label' is missing"},
+        {"10.0.0.1:8080", "10.0.0.1", "'public_addr' must be an address"},
+        {"10.0.0.2:8081", "10.0.0.2:99999", "'seeds[0].peer_addr' must be an address"},
+        {"report_s = 3.0", "report_s = 0", "'cluster.workers.report_s' must be above 0"},
+        {"report_s = 3.0", "report_s = \"x\"", "'cluster.workers.report_s' must be a number"},
+        {"txn_ops = 24", "txn_ops = 1", "'cluster.state.txn_ops' must be a whole number"},
+        {"[cluster.cloud]", "[cluster.clouds]", "'cluster.cloud' is missing"},
+        {"nodes = 3", "nodes = ", "f: line"},
+        {"gpus = 8", "gpus = -8", "'cluster.teams[0].gpus' must be at least 0"},
+    };
+    for (auto& c : cases) {
+        auto text = good();
+        text.replace(text.find(c.from), std::string(c.from).size(), c.to);
+        try {
+            parse_settings(text, "f");
+            ADD_FAILURE() << c.says;
+        } catch (const BadSettings& e) {
+            EXPECT_NE(std::string(e.what()).find(c.says), std::string::npos) << e.what();
+            EXPECT_EQ(std::string(e.what()).rfind("f: ", 0), 0u) << e.what();
+        }
+    }
+    EXPECT_THROW(load_settings("/nowhere/at/all.toml"), BadSettings);
+}
+TEST(Operator, IsReadAndRangesAreChecked) {
+    auto o = parse_operator("draws: 3 reserve_ratio: 0.5 max_machines: 40", "f");
+    EXPECT_EQ(o.draws, 3u);
+    EXPECT_EQ(o.max_machines, 40u);
+    EXPECT_EQ(o.draw_rounds, Operator{}.draw_rounds);
+    for (const char* bad :
+         {"draws: 1", "lease_ratio: 0.9", "nonsense: 1", "draws: \"x\"", "reserve_ratio: -1"})
+        EXPECT_THROW(parse_operator(bad, "f"), BadSettings) << bad;
+}
+
+TEST(Submit, Verdicts) {
+    Settings s = parse_settings(good(), "f");
+    const std::vector<wire::MachineType> types = {{"g4", {16, 4, 64}, 100, 1, 10, 4, 30, {"z1"}}};
+    struct Case {
+        const char* name;
+        std::function<void(wire::Job&)> change;
+        bool runnable;
+    };
+    const Case cases[] = {
+        {"fits", [](auto&) {}, true},
+        {"unknown team", [](auto& j) { j.team = "x"; }, false},
+        {"too large for any type", [](auto& j) { j.need.gpus = 5; }, false},
+        {"fills a machine",
+         [](auto& j) {
+             j.need = {8, 4, 64};
+         },
+         true},
+        {"a type that does not exist", [](auto& j) { j.types = {"nope"}; }, false},
+        {"one of the types exists",
+         [](auto& j) {
+             j.types = {"nope", "g4"};
+         },
+         true},
+        {"no types allowed", [](auto& j) { j.types = std::vector<std::string>{}; }, false},
+        {"a zone that does not exist", [](auto& j) { j.zone = "z9"; }, false},
+        {"an array larger than the limit runs in turns", [](auto& j) { j.tasks = 1000; }, true},
+        {"a gang larger than the limit never runs",
+         [](auto& j) {
+             j.kind = wire::Kind::gang;
+             j.tasks = 17;
+         },
+         false},
+        {"a service at the limit",
+         [](auto& j) {
+             j.kind = wire::Kind::service;
+             j.tasks = 8;
+         },
+         true},
+        {"a service beyond the limit",
+         [](auto& j) {
+             j.kind = wire::Kind::service;
+             j.tasks = 9;
+         },
+         false},
+    };
+    for (auto& c : cases) {
+        wire::Job j;
+        j.team = "t";
+        j.need = {1, 1, 1};
+        c.change(j);
+        EXPECT_EQ(api::judge(j, types, s).runnable, c.runnable) << c.name;
+    }
+}
+
+}  // namespace
+}  // namespace coralhitch::config
--- /dev/null
+++ b/tests/picture_test.cpp
@@ -0,0 +1,185 @@
+// When a task counts as gone from a machine, and when the worker may be told to forget it.
+#include "fleet/picture.hpp"
+
+#include <gtest/gtest.h>
+
+namespace coralhitch::fleet {
+namespace {
+using wire::Cause;
+using wire::Command;
+using wire::Op;
+using wire::TaskState;
+
+constexpr std::uint64_t version = 7;
+const wire::TaskId task{"j-1", 0};
+
+struct Bench {
+    Picture picture{version, {{"g4", {16, 4, 64}, 100, 1, 10, 4, 30, {"a"}}}};
+    Spec spec = [] {
+        auto j = std::make_shared<wire::Job>();
+        j->id = "j-1";
+        j->need = {1, 1, 1};
+        j->image = "img";
+        return j;
+    }();
+    std::uint64_t sequence = 0;
+    std::vector<wire::TaskReport> on;
+    Heard hear(std::uint64_t token, Via via = Via::hello, std::uint64_t session = 1) {
+        wire::Report r{"vm-1", "10.1.0.1:9", "g4", "a", false, session, ++sequence, token, {}, on};
+        return picture.hear(r, via, 0,
+                            [this](const std::string& id) { return id == "j-1" ? spec : nullptr; });
+    }
+    Machine& machine() { return *picture.find("vm-1"); }
+    std::uint64_t base() { return picture.base_token(); }
+    // A machine known and stored, with a `run` sent directly.
+    std::vector<Command> run() {
+        hear(base());
+        machine().stored = true;
+        picture.place(machine(), task, spec, 5, 0);
+        return picture.direct_now(machine(), 0, true);
+    }
+    bool sends(Op op) {
+        for (auto& c : picture.answer(machine(), 0, true))
+            if (c.op == op) return true;
+        return false;
+    }
+};
+
+TEST(Picture, RunGoesOutOnlyWithAuthorityToSettledStoredMachines) {
+    for (auto [settled, stored, authority] :
+         {std::tuple(false, true, true), {true, false, true}, {true, true, false}, {true, true, true}}) {
+        Bench b;
+        b.hear(settled ? b.base() : 0);
+        b.machine().stored = stored;
+        b.picture.place(b.machine(), task, b.spec, 5, 0);
+        EXPECT_EQ(b.picture.direct_now(b.machine(), 0, authority).size(),
+                  settled && stored && authority ? 1u : 0u);
+    }
+}
+
+TEST(Picture, ATaskNotShownStaysWhileItsRunMayStillArrive) {
+    Bench b;
+    auto sent = b.run();
+    b.picture.direct_done(b.machine(), sent, b.base(), false);  // no answer: not a proof
+    EXPECT_TRUE(b.hear(b.base()).ends.empty());
+    EXPECT_EQ(b.machine().tasks.size(), 1u);
+    EXPECT_TRUE(b.sends(Op::start));  // wanted: sent again
+    EXPECT_DOUBLE_EQ(b.machine().free().gpus, 3);
+}
+
+TEST(Picture, AnUnwantedRunIsFencedWithAHigherToken) {
+    Bench b;
+    auto sent = b.run();
+    b.picture.direct_done(b.machine(), sent, b.base(), false);
+    b.picture.stop(b.machine(), task, 0);
+    EXPECT_GT(b.machine().token, b.base());
+    EXPECT_FALSE(b.sends(Op::start));
+    EXPECT_TRUE(b.hear(b.base()).ends.empty());            // the worker would still take the late command
+    EXPECT_EQ(b.hear(b.machine().token).ends.size(), 1u);  // now it drops it
+    EXPECT_TRUE(b.machine().tasks.empty());
+}
+
+TEST(Picture, ProofsOfExit) {
+    struct Case {
+        const char* name;
+        std::function<std::vector<End>(Bench&)> proof;
+    };
+    const Case cases[] = {
+        {"reported as exited",
+         [](Bench& b) {
+             b.on = {{task, 5, TaskState::exited, Cause::stopped, true}};
+             return b.hear(b.base()).ends;
+         }},
+        {"a new session",
+         [](Bench& b) {
+             b.sequence = 0;
+             return b.hear(b.base(), Via::hello, 2).ends;
+         }},
+        {"deletion answered", [](Bench& b) { return b.picture.removed("vm-1"); }},
+        {"the lease is out", [](Bench& b) { return b.picture.lease_out(b.machine()); }},
+    };
+    for (auto& c : cases) {
+        Bench b;
+        b.run();
+        b.on = {{task, 5, TaskState::running}};
+        EXPECT_TRUE(b.hear(b.base(), Via::direct).ends.empty()) << c.name;
+        auto ends = c.proof(b);
+        ASSERT_EQ(ends.size(), 1u) << c.name;
+        EXPECT_EQ(ends[0].attempt, 5u) << c.name;
+    }
+}
+
+TEST(Picture, AnOlderReportChangesNothing) {
+    Bench b;
+    b.run();
+    b.on = {{task, 5, TaskState::running}};
+    b.sequence = 10;
+    b.hear(b.base());
+    b.on = {{task, 5, TaskState::exited, Cause::done}};
+    b.sequence = 3;
+    auto heard = b.hear(b.base());
+    EXPECT_FALSE(heard.fresh);
+    EXPECT_TRUE(heard.current);  // its sender may still wait for the answer
+    EXPECT_EQ(b.machine().tasks.size(), 1u);
+}
+
+TEST(Picture, ALateReportOfADeletedMachineIsIgnored) {
+    Bench b;
+    b.run();
+    b.picture.removed("vm-1");
+    EXPECT_TRUE(b.hear(b.base()).gone);
+    EXPECT_EQ(b.picture.find("vm-1"), nullptr);
+}
+
+TEST(Picture, ClearWaitsForStorageAndForEveryRunThatMayBeLate) {
+    Bench b;
+    auto sent = b.run();
+    b.on = {{task, 5, TaskState::exited, Cause::done}};
+    b.hear(b.base());
+    EXPECT_FALSE(b.sends(Op::forget));  // not stored
+    b.picture.stored("j-1");
+    b.hear(b.base());
+    EXPECT_FALSE(b.sends(Op::forget));  // the direct `run` is still under way
+    b.picture.direct_done(b.machine(), sent, b.base(), false);
+    b.hear(b.base());
+    EXPECT_FALSE(b.sends(Op::forget));  // it got no answer: a higher token goes out first
+    EXPECT_GT(b.machine().token, b.base());
+    b.hear(b.machine().token);
+    EXPECT_TRUE(b.sends(Op::forget));
+}
+
+TEST(Picture, ClearWaitsForTheReportAfterAnAnswerWithRun) {
+    Bench b;
+    auto sent = b.run();
+    b.picture.direct_done(b.machine(), sent, b.base(), true);
+    b.hear(b.base());
+    EXPECT_TRUE(b.sends(Op::start));  // this answer may reach the worker up to a few seconds later
+    b.on = {{task, 5, TaskState::exited, Cause::no_room}};
+    b.hear(b.base(), Via::direct);  // a direct answer overtakes it
+    EXPECT_FALSE(b.sends(Op::forget));
+    b.hear(b.base());
+    EXPECT_TRUE(b.sends(Op::forget));
+}
+
+TEST(Picture, SettlesOnlyByAReportUnderThisLeadersToken) {
+    Bench b;
+    b.on = {{task, 3, TaskState::running}};
+    auto heard = b.hear(b.base() - 1);
+    EXPECT_EQ(heard.found.size(), 1u);
+    EXPECT_FALSE(b.machine().settled);
+    b.hear(b.base());
+    EXPECT_TRUE(b.machine().settled);
+    b.sequence += 1;
+    EXPECT_TRUE(b.hear((version + 1) << Picture::token_bits).deposed);
+}
+
+TEST(Picture, TasksOfUnknownJobsAreStoppedAndKeepTheMachineClosed) {
+    Bench b;
+    b.on = {{{"j-2", 0}, 3, TaskState::running}};
+    b.hear(b.base());
+    EXPECT_TRUE(b.machine().has_unknown());
+    EXPECT_TRUE(b.sends(Op::stop));
+}
+
+}  // namespace
+}  // namespace coralhitch::fleet
--- /dev/null
+++ b/tests/placement_test.cpp
@@ -0,0 +1,282 @@
+// Where tasks may go, who goes first, and that two choices are better than one.
+#include "placement/placement.hpp"
+
+#include <gtest/gtest.h>
+
+#include "capacity/capacity.hpp"
+
+namespace coralhitch::placement {
+namespace {
+using wire::Kind;
+using wire::Priority;
+
+config::Settings settings() {
+    config::Settings s;
+    s.report_s = 3;
+    s.teams = {{"a", 0, 0, 4, 8}, {"b", 0, 0, 4, 0}, {"free", 0, 0, 0, 0}};
+    return s;
+}
+MachineView machine(const std::string& id, const std::string& zone = "z1", bool spot = false) {
+    MachineView m;
+    m.id = id;
+    m.type = "g4";
+    m.zone = zone;
+    m.spot = spot;
+    m.usable = true;
+    m.total = m.free = {16, 4, 64};
+    return m;
+}
+JobView job(const std::string& id, Kind kind, std::uint32_t tasks, double gpus,
+            const std::string& team = "free") {
+    auto j = std::make_shared<wire::Job>();
+    j->id = id;
+    j->kind = kind;
+    j->tasks = tasks;
+    j->need = {1, gpus, 1};
+    j->team = team;
+    j->image = "img";
+    JobView v;
+    v.spec = j;
+    v.open = tasks;
+    for (std::uint32_t i = 0; i < tasks; ++i) v.waiting.push_back(i);
+    return v;
+}
+wire::Job& edit(JobView& v) {
+    return const_cast<wire::Job&>(*v.spec);
+}
+Decisions run(Input& in) {
+    std::mt19937_64 random(1);
+    static const auto s = settings();
+    return plan(in, s, random);
+}
+
+TEST(Rules, ZonesCountTheOtherTasksWhereverTheyMayBe) {
+    struct Case {
+        bool one_zone, spread;
+        std::uint32_t tasks;
+        std::map<std::string, int> zones;
+        bool allowed;
+    };
+    const Case cases[] = {
+        {true, false, 4, {}, true},           {true, false, 4, {{"z1", 2}}, true},
+        {true, false, 4, {{"z2", 1}}, false}, {true, false, 4, {{"z2", 0}}, true},
+        {false, true, 1, {}, true},           {false, true, 9, {{"z1", 4}}, true},
+        {false, true, 9, {{"z1", 5}}, false}, {false, true, 2, {{"z1", 1}}, false},
+        {false, true, 2, {{"z2", 1}}, true},
+    };
+    for (auto& c : cases) {
+        wire::Job j;
+        j.one_zone = c.one_zone;
+        j.spread = c.spread;
+        j.tasks = c.tasks;
+        EXPECT_EQ(zone_allowed(j, c.zones, "z1"), c.allowed) << c.one_zone << c.spread << c.tasks;
+    }
+}
+TEST(Rules, TypeZoneAndSpot) {
+    wire::Job j;
+    EXPECT_FALSE(type_allowed(j, "g4", "z1", true));
+    EXPECT_TRUE(type_allowed(j, "g4", "z1", false));
+    j.spot = true;
+    EXPECT_TRUE(type_allowed(j, "g4", "z1", true));
+    j.zone = "z2";
+    EXPECT_FALSE(type_allowed(j, "g4", "z1", false));
+    j.zone.reset();
+    j.types = {"g8"};
+    EXPECT_FALSE(type_allowed(j, "g4", "z1", false));
+}
+
+TEST(Plan, KeepsTheTeamsMaximumWithWhatMayStillRun) {
+    Input in;
+    for (int i = 0; i < 5; ++i) in.machines.push_back(machine("m" + std::to_string(i)));
+    in.jobs.push_back(job("j-1", Kind::array, 10, 1, "a"));
+    in.team_used["a"] = {0, 3, 0};
+    EXPECT_EQ(run(in).starts.size(), 5u);  // 8 at most, 3 taken
+}
+TEST(Plan, StartsAGangWholeOrNotAtAll) {
+    for (auto [machines, starts] : {std::pair(2, 0u), {3, 3u}}) {
+        Input in;
+        for (int i = 0; i < machines; ++i) in.machines.push_back(machine("m" + std::to_string(i)));
+        in.jobs.push_back(job("j-1", Kind::gang, 3, 4));
+        EXPECT_EQ(run(in).starts.size(), starts);
+    }
+}
+TEST(Plan, AGangWaitsForItsOldAttemptToBeGone) {
+    Input in;
+    for (int i = 0; i < 4; ++i) in.machines.push_back(machine("m" + std::to_string(i)));
+    in.jobs.push_back(job("j-1", Kind::gang, 2, 1));
+    in.jobs[0].active = 1;
+    EXPECT_TRUE(run(in).starts.empty());
+}
+TEST(Plan, AGangInOneZoneNeverSpansTwo) {
+    Input in;
+    in.machines = {machine("m0", "z1"), machine("m1", "z2"), machine("m2", "z2")};
+    in.jobs.push_back(job("j-1", Kind::gang, 2, 4));
+    edit(in.jobs[0]).one_zone = true;
+    auto d = run(in);
+    ASSERT_EQ(d.starts.size(), 2u);
+    for (auto& s : d.starts) EXPECT_EQ(in.machines[s.machine].zone, "z2");
+}
+TEST(Plan, HigherPriorityAndGuaranteesDisplaceInATotalOrder) {
+    struct Case {
+        const char* name;
+        Priority waiting, running;
+        const char *waiting_team, *running_team;
+        int running_open;  // open tasks of the running job: beyond 4, it is beyond its team's guarantee
+        bool stops;
+    };
+    const Case cases[] = {
+        {"higher displaces lower", Priority::high, Priority::normal, "free", "free", 4, true},
+        {"equal does not", Priority::normal, Priority::normal, "free", "free", 4, false},
+        {"lower does not", Priority::low, Priority::normal, "free", "free", 4, false},
+        {"a guarantee displaces what is beyond another's", Priority::normal, Priority::high, "a", "b", 9,
+         true},
+        {"but not what is within it", Priority::normal, Priority::high, "a", "b", 4, false},
+        {"nor does priority displace a guarantee", Priority::production, Priority::low, "free", "b", 4,
+         false},
+    };
+    for (auto& c : cases) {
+        Input in;
+        in.now = 1000;
+        in.machines = {machine("m0")};
+        in.machines[0].free = {12, 0, 60};
+        in.jobs.push_back(job("j-1", Kind::array, 1, 1, c.waiting_team));
+        edit(in.jobs[0]).priority = c.waiting;
+        in.jobs.push_back(job("j-2", Kind::array, 4, 1, c.running_team));
+        edit(in.jobs[1]).priority = c.running;
+        in.jobs[1].waiting.clear();
+        in.jobs[1].open = static_cast<std::size_t>(c.running_open);
+        for (std::uint32_t i = 0; i < 4; ++i) in.instances.push_back({1, 0, i, false, true, 100, 110});
+        EXPECT_EQ(run(in).stops.size(), c.stops ? 1u : 0u) << c.name;
+    }
+}
+TEST(Plan, APlaceBeingEmptiedIsKeptForWhoeverItIsEmptiedFor) {
+    Input in;
+    in.now = 1000;
+    in.machines = {machine("m0")};
+    in.machines[0].free = {14, 1, 60};
+    in.jobs.push_back(job("j-1", Kind::array, 1, 2));
+    edit(in.jobs[0]).priority = Priority::high;
+    in.jobs.push_back(job("j-2", Kind::array, 1, 1));  // would fit now, into what j-1 waits for
+    edit(in.jobs[1]).priority = Priority::low;
+    in.jobs.push_back(job("j-3", Kind::array, 3, 1));
+    in.jobs[2].waiting.clear();
+    edit(in.jobs[2]).priority = Priority::low;
+    for (std::uint32_t i = 0; i < 3; ++i) in.instances.push_back({2, 0, i, i == 0, true, 100, 110});
+    auto d = run(in);
+    EXPECT_TRUE(d.stops.empty());  // one is being stopped already, that is enough
+    EXPECT_TRUE(d.starts.empty());
+}
+TEST(Plan, SmallTasksLeaveWholeRoomToThoseThatNeedIt) {
+    Input in;
+    in.machines = {machine("m0"), machine("m1"), machine("m2")};
+    in.machines[2].free = {15, 3, 60};
+    in.jobs.push_back(job("j-1", Kind::array, 3, 1));
+    in.jobs.push_back(job("j-2", Kind::gang, 1, 4));
+    in.jobs[1].startable = false;
+    auto d = run(in);
+    ASSERT_EQ(d.starts.size(), 3u);
+    for (auto& s : d.starts) EXPECT_EQ(s.machine, 2u);
+}
+TEST(Plan, MachinesNotUsableOrSurplusAreLeftOut) {
+    Input in;
+    in.machines = {machine("m0"), machine("m1"), machine("m2")};
+    in.machines[0].usable = false;
+    in.machines[1].draining = true;
+    in.jobs.push_back(job("j-1", Kind::array, 5, 1));
+    auto d = run(in);
+    ASSERT_EQ(d.starts.size(), 5u);
+    for (std::size_t k = 0; k < 4; ++k) EXPECT_EQ(d.starts[k].machine, 2u);
+    EXPECT_EQ(d.starts[4].machine, 1u);  // no room elsewhere
+}
+
+// The heart of the design. n tasks on n machines: with one choice the fullest holds about ln n / ln ln n
+// tasks, with two about ln ln n. Fixed seeds; the bound lies between what d = 1 and d = 2 give, so it fails
+// if the second choice were lost.
+TEST(Draw, TwoChoicesKeepTheFullestMachineLow) {
+    constexpr std::size_t n = 2000;
+    auto fullest = [](std::uint32_t d, std::uint64_t seed) {
+        config::Operator op;
+        op.draws = d;
+        std::vector<int> tasks(n);
+        std::mt19937_64 random(seed);
+        Counts counts;
+        for (std::size_t k = 0; k < n; ++k) {
+            auto m = draw(
+                n, [](std::size_t) { return true; }, [&](std::size_t i) { return tasks[i]; }, op, random,
+                counts);
+            ++tasks[*m];
+        }
+        return *std::max_element(tasks.begin(), tasks.end());
+    };
+    for (std::uint64_t seed : {1, 2, 3, 4, 5}) {
+        EXPECT_LE(fullest(config::Operator{}.draws, seed), 4) << seed;
+        EXPECT_GE(fullest(1, seed), 5) << seed;
+    }
+}
+TEST(Draw, FallsBackToTheFirstWithRoom) {
+    std::mt19937_64 random(1);
+    Counts counts;
+    auto m = draw(
+        500, [](std::size_t i) { return i == 499; }, [](std::size_t) { return 0; }, config::Operator{},
+        random, counts);
+    EXPECT_EQ(m, 499u);
+    EXPECT_EQ(counts.fallbacks, 1u);
+    EXPECT_FALSE(draw(
+        5, [](std::size_t) { return false; }, [](std::size_t) { return 0; }, config::Operator{}, random,
+        counts));
+}
+
+TEST(Capacity, RentsForNeedAndReturnsTheSurplus) {
+    auto s = settings();
+    s.teams = {{"free", 0, 0, 0, 0}};
+    capacity::Input in;
+    in.types = {{"g4", {16, 4, 64}, 100, 1, 10, 4, 30, {"z1", "z2"}}};
+    auto waiting = job("j-1", Kind::array, 8, 1);
+    in.needs.push_back({waiting.spec.get(), 8, {}});
+    auto count = [](const capacity::Decisions& d) {
+        int n = 0;
+        for (auto& r : d.rents) n += r.count;
+        return n;
+    };
+    EXPECT_EQ(count(capacity::plan(in, s)), 3);  // two for the tasks, one in reserve
+    for (int i = 0; i < 3; ++i) {
+        capacity::MachineView b{"b" + std::to_string(i), "g4", "z1", false, true, {16, 4, 64}, {}};
+        in.machines.push_back(b);
+    }
+    EXPECT_EQ(count(capacity::plan(in, s)), 0);  // on their way
+    in.machines.clear();
+    in.needs.clear();
+    for (int i = 0; i < 4; ++i) {
+        capacity::MachineView u{"u" + std::to_string(i), "g4", "z1", false, false, {16, 4, 64}, {16, 4, 64}};
+        u.empty = true;
+        u.idle_for = 1000;
+        in.machines.push_back(u);
+    }
+    EXPECT_EQ(capacity::plan(in, s).returns.size(), 4u);
+    in.machines[0].free = {8, 2, 32};
+    in.machines[0].empty = false;
+    auto d = capacity::plan(in, s);
+    EXPECT_EQ(d.returns.size(), 2u);
+    EXPECT_FALSE(std::count(d.returns.begin(), d.returns.end(), "u0"));
+}
+TEST(Capacity, PassesRefusedPoolsOverAndPrefersWhatIsCheapest) {
+    auto s = settings();
+    s.teams = {{"free", 0, 0, 0, 0}};
+    s.op.reserve_ratio = 0;
+    capacity::Input in;
+    in.types = {{"g4", {16, 4, 64}, 100, 1, 10, 4, 30, {"z1", "z2"}}};
+    auto waiting = job("j-1", Kind::array, 1, 1);
+    edit(waiting).spot = true;
+    in.needs.push_back({waiting.spec.get(), 1, {}});
+    auto spot_first = capacity::plan(in, s).rents;
+    ASSERT_FALSE(spot_first.empty());
+    EXPECT_TRUE(std::any_of(spot_first.begin(), spot_first.end(), [](auto& r) { return r.spot; }));
+    in.refused = {{"g4", "z1", true}, {"g4", "z2", true}, {"g4", "z1", false}};
+    for (auto& r : capacity::plan(in, s).rents) {
+        EXPECT_EQ(r.zone, "z2");
+        EXPECT_FALSE(r.spot);
+    }
+}
+
+}  // namespace
+}  // namespace coralhitch::placement
--- /dev/null
+++ b/tests/standin.hpp
@@ -0,0 +1,198 @@
+// A stand-in for everything around the controllers, in simulated time: state service, cloud, workers, users
+// and the network between them. It speaks the protocol, and checks the rules itself.
+#pragma once
+#include <deque>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <queue>
+#include <random>
+#include <set>
+
+#include "daemon/controller.hpp"
+
+namespace coralhitch::standin {
+using nlohmann::json;
+
+class World;
+
+// Timers of one host: when the host dies, what it had planned does not happen.
+class HostTimers : public loop::Timers {
+  public:
+    explicit HostTimers(World& world) : world_(world) {}
+    double now() const override;
+    double unix_time() const override { return now() + 1e9; }
+    loop::TimerId after(double s, loop::Task task) override;
+    void cancel(loop::TimerId id) override { cancelled_->insert(id); }
+    void kill() { *alive_ = false; }
+
+  private:
+    World& world_;
+    loop::TimerId next_ = 1;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    std::shared_ptr<std::set<loop::TimerId>> cancelled_ = std::make_shared<std::set<loop::TimerId>>();
+};
+
+class InlinePlanner : public daemon::Planner {
+  public:
+    explicit InlinePlanner(loop::Timers& t) : timers_(t) {}
+    void submit(Work work) override {
+        timers_.after(0.01, [work = std::move(work)] { work()(); });
+    }
+
+  private:
+    loop::Timers& timers_;
+};
+
+struct Task {
+    std::string job;
+    std::uint64_t attempt = 0;
+    std::string status, cause;
+    bool saved = false;
+    double ends = -1;
+};
+
+struct Worker {
+    std::string id, addr, type, zone;
+    bool spot = false, dead = false, hung = false, sick = false;
+    std::uint64_t session = 1, sequence = 0, helm = 0;
+    double last_answered = 0;
+    std::size_t node = 0;
+    std::map<std::string, Task> tasks;
+};
+
+struct Node {
+    config::Settings settings;
+    std::unique_ptr<HostTimers> timers;
+    std::unique_ptr<http::Requester> http;
+    std::unique_ptr<InlinePlanner> planner;
+    std::unique_ptr<daemon::Controller> controller;
+    bool up = false;
+};
+
+// What a user was told about a job.
+struct Told {
+    json spec;
+    bool accepted = false, cancelled = false, done = false;
+    double cancelled_at = -1;
+    std::set<std::string> tasks_done;
+};
+
+struct Options {
+    std::uint64_t seed = 1;
+    std::size_t machines = 6;
+    double report_s = 3, lease_s = 24, cancel_s = 44;
+    double gpus_max = 12;
+};
+
+class World {
+  public:
+    explicit World(Options options);
+    ~World();
+    void run_until(double t);
+    double now() const { return now_; }
+    void at(double t, loop::Task task) { queue_.push({t, next_event_++, std::move(task)}); }
+
+    // Faults
+    void crash(std::size_t node, double back_after);
+    void cut(const std::string& a, const std::string& b, double for_s, bool hold);
+    void state_down(double for_s) { state_down_until_ = now_ + for_s; }
+    void cloud_down(double for_s) { cloud_down_until_ = now_ + for_s; }
+    void refuse_state(std::size_t node, double for_s) { refused_until_[addr_of(node)] = now_ + for_s; }
+    void die(std::size_t k);
+    void hang(std::size_t k, double for_s);
+    int leader() const;
+
+    // Users
+    void submit(const std::string& id, const std::string& kind, int tasks, double run_s, json more = {});
+    void cancel(const std::string& id);
+    void poll_all();
+
+    // Network, for the hosts' requesters
+    void send(const std::string& from, const std::string& to, http::Request r, double timeout,
+              http::Result result);
+    std::string addr_of(std::size_t node) const { return "10.0.0." + std::to_string(node + 1) + ":8080"; }
+    void rogue_run(const std::string& task, std::uint64_t attempt);  // breaks a rule on purpose
+
+    std::vector<std::string> broken;
+    std::map<std::string, Told> jobs;
+    std::vector<std::unique_ptr<Worker>> workers;
+    std::size_t starts = 0;
+
+  private:
+    struct Event {
+        double t;
+        std::uint64_t n;
+        loop::Task task;
+        bool operator<(const Event& o) const { return std::tie(t, n) > std::tie(o.t, o.n); }
+    };
+    struct Item {
+        std::string value;
+        std::uint64_t version = 0, lease = 0;
+    };
+    struct Lease {
+        double ttl = 0, until = 0;
+    };
+    struct Watch {
+        std::string prefix;
+        std::uint64_t since;
+        double until;
+        http::Reply reply;
+        std::string from;
+    };
+    void rule(const std::string& what) { broken.push_back(std::to_string(now_) + " " + what); }
+    double latency() { return std::uniform_real_distribution<double>(0.001, 0.008)(random_); }
+    void boot(std::size_t node);
+    void deliver(const std::string& from, const std::string& to, http::Request r, http::Reply reply);
+    bool is_cut(const std::string& a, const std::string& b, bool& hold, double& until) const;
+    static std::string host(const std::string& addr) { return addr.substr(0, addr.find(':')); }
+
+    // State service
+    void state(const std::string& from, const http::Request& r, http::Reply reply);
+    void kv_changed();
+    void expire_leases();
+    json events(const std::string& prefix, std::uint64_t since) const;
+    http::Response txn(const json& j);
+    // Cloud
+    http::Response cloud(const http::Request& r);
+    Worker& add_worker(const std::string& zone, bool spot);
+    // Workers
+    void report_loop(Worker& w);
+    json report(Worker& w);
+    void command(Worker& w, const json& orders);
+    http::Response direct(Worker& w, const http::Request& r);
+    void start(Worker& w, const std::string& task, std::uint64_t attempt);
+    void finish(Worker& w, const std::string& task, std::uint64_t attempt, const std::string& cause);
+    void check_lease(Worker& w);
+    bool present(const Task& t) const { return t.status != "exited"; }
+    // Users
+    void ask(const std::string& id, const std::string& method, const std::string& path,
+             const std::string& body, std::function<void(const http::Response&)> done, int tries = 40);
+    void told(const std::string& id, const std::string& status);
+    void check_cancelled();
+
+    Options options_;
+    std::mt19937_64 random_;
+    double now_ = 0;
+    std::uint64_t next_event_ = 0;
+    std::priority_queue<Event> queue_;
+    std::vector<Node> nodes_;
+    std::vector<Node> graveyard_;
+    std::map<std::string, Item> kv_;
+    std::vector<std::pair<std::uint64_t, json>> history_;
+    std::map<std::uint64_t, Lease> leases_;
+    std::vector<Watch> watches_;
+    std::uint64_t revision_ = 0, next_lease_ = 1;
+    double state_down_until_ = 0, cloud_down_until_ = 0;
+    std::map<std::string, double> refused_until_;
+    struct Cut {
+        std::string a, b;
+        double until;
+        bool hold;
+    };
+    std::vector<Cut> cuts_;
+    std::map<std::string, json> rentals_;
+    friend class HostTimers;
+};
+
+}  // namespace coralhitch::standin
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -10,10 +10,11 @@
 namespace {
 
 nlohmann::json good_job() {
-    return {{"id", "j-000412"}, {"cohort", "train"},  {"crew", "vision"}, {"shape", "gang"},     {"rank", "high"},
-            {"shards", 16},     {"vcpus", 8.0},       {"cards", 1.0},     {"ram_gb", 64.0},      {"payload", "img-07"},
-            {"image_gb", 6.2},  {"hulls", {"g8"}},    {"reef", nullptr},  {"together", true},    {"scatter", false},
-            {"driftwood", true}, {"reckon_s", 240.0}, {"anchor_s", 30.0}, {"stow_s", 4.0},       {"tide_s", 900.0}};
+    return {{"id", "j-000412"},  {"cohort", "train"},   {"crew", "vision"}, {"shape", "gang"},
+            {"rank", "high"},    {"shards", 16},        {"vcpus", 8.0},     {"cards", 1.0},
+            {"ram_gb", 64.0},    {"payload", "img-07"}, {"image_gb", 6.2},  {"hulls", {"g8"}},
+            {"reef", nullptr},   {"together", true},    {"scatter", false}, {"driftwood", true},
+            {"reckon_s", 240.0}, {"anchor_s", 30.0},    {"stow_s", 4.0},    {"tide_s", 900.0}};
 }
 
 TEST(JobMessage, IsTakenAndStoredWithoutLoss) {
@@ -35,18 +36,37 @@
         nlohmann::json value;
     };
     const Case cases[] = {
-        {"id", "x-1"},      {"id", "j-"},        {"id", "j-1a"},     {"id", 7},          {"shards", 0},
-        {"shards", 100001}, {"shards", 1.5},     {"shards", -1},     {"shape", "pile"},  {"rank", "urgent"},
-        {"vcpus", -1.0},    {"vcpus", "8"},      {"cards", nullptr}, {"together", 1},    {"scatter", nullptr},
-        {"hulls", "g8"},    {"hulls", {1}},      {"reef", 3},        {"tide_s", "soon"}, {"reckon_s", -2},
-        {"payload", ""},    {"crew", nullptr},   {"cohort", std::string(5000, 'x')},
+        {"id", "x-1"},
+        {"id", "j-"},
+        {"id", "j-1a"},
+        {"id", 7},
+        {"shards", 0},
+        {"shards", 100001},
+        {"shards", 1.5},
+        {"shards", -1},
+        {"shape", "pile"},
+        {"rank", "urgent"},
+        {"vcpus", -1.0},
+        {"vcpus", "8"},
+        {"cards", nullptr},
+        {"together", 1},
+        {"scatter", nullptr},
+        {"hulls", "g8"},
+        {"hulls", {1}},
+        {"reef", 3},
+        {"tide_s", "soon"},
+        {"reckon_s", -2},
+        {"payload", ""},
+        {"crew", nullptr},
+        {"cohort", std::string(5000, 'x')},
     };
     for (auto& c : cases) {
         auto j = good_job();
         j[c.field] = c.value;
         EXPECT_THROW(parse_job(j.dump()), Malformed) << c.field << " = " << c.value;
     }
-    for (const char* body : {"", "{", "[]", "7", "null", "{\"id\":\"j-1\"}"}) EXPECT_THROW(parse_job(body), Malformed) << body;
+    for (const char* body : {"", "{", "[]", "7", "null", "{\"id\":\"j-1\"}"})
+        EXPECT_THROW(parse_job(body), Malformed) << body;
     auto j = good_job();
     auto text = j.dump();
     text.replace(text.find("8.0"), 3, "1e999");  // not finite
@@ -68,11 +88,12 @@
 }
 
 TEST(Report, RefusesWhatIsMalformed) {
-    for (const char* body :
-         {"{}", "[]", R"({"berth":"vm-1"})",
-          R"({"berth":"vm-1","addr":"a","hull":"g","reef":"a","driftwood":false,"watch":-1,"tally":1,"helm":0,"shards":[]})",
-          R"({"berth":"vm-1","addr":"a","hull":"g","reef":"a","driftwood":false,"watch":1,"tally":1,"helm":0,"shards":[{"shard":"j-1","launch":1,"status":"running"}]})",
-          R"({"berth":"vm-1","addr":"a","hull":"g","reef":"a","driftwood":false,"watch":1,"tally":1,"helm":0,"shards":[7]})"})
+    for (
+        const char* body :
+        {"{}", "[]", R"({"berth":"vm-1"})",
+         R"({"berth":"vm-1","addr":"a","hull":"g","reef":"a","driftwood":false,"watch":-1,"tally":1,"helm":0,"shards":[]})",
+         R"({"berth":"vm-1","addr":"a","hull":"g","reef":"a","driftwood":false,"watch":1,"tally":1,"helm":0,"shards":[{"shard":"j-1","launch":1,"status":"running"}]})",
+         R"({"berth":"vm-1","addr":"a","hull":"g","reef":"a","driftwood":false,"watch":1,"tally":1,"helm":0,"shards":[7]})"})
         EXPECT_THROW(parse_report(body), Malformed) << body;
 }
 
