A leader cut off from the workers asks the others before it fences many machines

Now fenced machines count as silent for a lease, and the other controllers name the machines that turn to them: if they hear half of the silent ones the leader gives way, if they hear none the machines are gone. Ruled out: dead machines (they reported to other controllers, which answered 421).

--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -12,6 +12,8 @@
 constexpr double ping_reports = 1.0 / 2;
 constexpr double state_check_reports = 1.0 / 3;
 constexpr double peer_fresh_reports = 1.5;
+constexpr double heard_reports = 1.5;
+constexpr std::size_t most_named = 1000;  // a sample does in a larger fleet
 constexpr double counts_reports = 1.0 / 10;
 constexpr double types_reports = 20;
 // After giving way, a controller keeps its leadership for this many worker leases, even if it hears nobody.
@@ -47,8 +49,18 @@
 }
 
 void Controller::won(std::uint64_t version) {
-    Context c{timers_, http_,    settings_, state_, election_,
-              cloud_,  planner_, metrics_,  types_, [this] { return give_way(); }};
+    Context c{timers_,
+              http_,
+              settings_,
+              state_,
+              election_,
+              cloud_,
+              planner_,
+              metrics_,
+              types_,
+              [this](const std::set<std::string>& m) { return heard_elsewhere(m); },
+              [this] { return give_way(); }};
+    heard_.clear();
     leader_ = std::make_shared<Leader>(std::move(c), version, random_());
     leader_->start();
     metrics_.event("won");
@@ -59,16 +71,24 @@
     if (leader_) leader_->stop();
     leader_.reset();
 }
+bool Controller::fresh(const PeerState& p) const {
+    return p.heard >= 0 && timers_.now() - p.heard < settings_.report_s * peer_fresh_reports;
+}
+std::optional<std::size_t> Controller::heard_elsewhere(const std::set<std::string>& machines) const {
+    std::optional<std::size_t> most;
+    for (auto& [label, p] : peers_) {
+        if (!fresh(p) || !p.last.state_ok) continue;
+        std::size_t n = 0;
+        for (auto& id : p.last.workers) n += machines.contains(id);
+        most = std::max(most.value_or(0), n);
+    }
+    return most;
+}
 bool Controller::give_way() {
     if (last_resigned_ >= 0 && timers_.now() - last_resigned_ < settings_.lease_s * resign_leases)
         return false;
-    for (auto& [label, p] : peers_) {
-        bool fresh = p.heard >= 0 && timers_.now() - p.heard < settings_.report_s * peer_fresh_reports;
-        if (!fresh || !p.last.state_ok) continue;
-        last_resigned_ = timers_.now();
-        return true;
-    }
-    return false;
+    last_resigned_ = timers_.now();
+    return true;
 }
 
 // --- Health ---------------------------------------------------------------------------------------------
@@ -92,8 +112,16 @@
     timers_.after(settings_.report_s * state_check_reports, [this] { check_state(); });
 }
 
-wire::PeerPing Controller::own_ping() const {
-    return {settings_.label, incarnation_, election_.leader_version(), election_.leader(), state_ok()};
+wire::PeerPing Controller::own_ping() {
+    std::erase_if(heard_,
+                  [&](auto& h) { return timers_.now() - h.second > settings_.report_s * heard_reports; });
+    wire::PeerPing p{settings_.label,    incarnation_, election_.leader_version(),
+                     election_.leader(), state_ok(),   {}};
+    for (auto& [id, at] : heard_) {
+        if (p.workers.size() >= most_named) break;
+        p.workers.push_back(id);
+    }
+    return p;
 }
 void Controller::heard_ping(const wire::PeerPing& p) {
     auto it = peers_.find(p.label);
@@ -213,6 +241,7 @@
         return reply({400, wire::error_body(m.what())});
     }
     if (leader_) return leader_->hello(std::move(report), std::move(reply));
+    heard_[report.machine] = timers_.now();
     auto* peer = leading_peer();
     reply({421, wire::report_elsewhere(peer ? peer->label : "")});
 }
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -39,7 +39,9 @@
     void ping_peers();
     void check_state();
     void heard_ping(const wire::PeerPing& p);
-    wire::PeerPing own_ping() const;
+    wire::PeerPing own_ping();
+    bool fresh(const PeerState& p) const;
+    std::optional<std::size_t> heard_elsewhere(const std::set<std::string>& machines) const;
     bool give_way();
     bool state_ok() const;
     void learn_types();
@@ -63,6 +65,7 @@
     std::map<std::string, PeerState> peers_;
     std::shared_ptr<Leader> leader_;
     double last_resigned_ = -1;
+    std::map<std::string, double> heard_;  // machines that reported while another controller leads
     bool state_seen_ = false;
 };
 
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -23,6 +23,10 @@
 constexpr double tick_reports = 1.0 / 6;
 constexpr double plan_gap_reports = 1.0 / 12;
 constexpr double probe_reports = 1.27;
+// Above this share of silent machines the leader doubts itself first.
+constexpr double suspect_share = 1.0 / 3;
+// How long a worker takes to turn to another controller: its timeout, a pause and a report.
+constexpr double turn_reports = 2;
 constexpr double capacity_reports = 1.0 / 2;
 constexpr double refused_reports = 10;
 constexpr double sick_reports = 20;
@@ -431,30 +435,47 @@
 
 void Leader::check_machines() {
     const auto& s = c_.settings;
-    std::size_t up = 0, silent = 0;
-    double silence = s.report_s * s.op.silence_reports;
+    double t = now();
+    while (!fenced_.empty() && t - fenced_.front() > s.lease_s) fenced_.pop_front();
+    // Those fenced a moment ago count as silent still. Otherwise a leader that is cut off from the workers
+    // would delete the fleet one by one, each time seeing only a few silent machines.
+    std::size_t up = fenced_.size();
+    std::set<std::string> silent_ids;
+    double longest = 0;
     for (auto& [id, m] : picture_.machines()) {
         if (m.life != Machine::Life::up) continue;
         ++up;
-        if (now() - m.last_heard > silence) ++silent;
+        double silent = t - m.last_heard;
+        if (silent > s.report_s * probe_reports) silent_ids.insert(id);
+        longest = std::max(longest, silent);
     }
-    // Most machines silent: more likely this controller is cut off than they are gone. Give way to one that
-    // may hear them, rather than delete the fleet.
-    bool suspect = silent * 2 > up;
-    if (suspect && now() - started_ > silence && c_.give_way()) {
-        spdlog::info("leader: {} of {} machines are silent, giving way", silent, up);
-        c_.election.resign(s.lease_s);
-        return;
+    std::size_t late = silent_ids.size() + fenced_.size();
+    bool fence = authority();
+    double wait = s.report_s * s.op.silence_reports;
+    if (static_cast<double>(late) > static_cast<double>(up) * suspect_share) {
+        // Many silent at once: this controller may be cut off from them. Workers that get no answer turn to
+        // the other controllers, so these know: if they hear machines, one of them should lead; if they hear
+        // none after the time a worker takes to turn to them, the machines are gone.
+        auto elsewhere = c_.heard_elsewhere(silent_ids);
+        if (elsewhere && *elsewhere * 2 >= silent_ids.size() && *elsewhere > 0 && longest > wait &&
+            c_.give_way()) {
+            spdlog::info("leader: {} of {} machines are silent, {} report to another controller: giving way",
+                         late, up, *elsewhere);
+            c_.election.resign(s.lease_s);
+            return;
+        }
+        wait += s.report_s * turn_reports;
+        fence = fence && elsewhere && *elsewhere * 2 < silent_ids.size();
     }
     std::vector<std::string> ids;
     for (auto& [id, m] : picture_.machines()) ids.push_back(id);
     for (auto& id : ids) {
         auto* m = picture_.find(id);
-        if (m) check_machine(*m, !suspect && authority());
+        if (m) check_machine(*m, fence, wait);
     }
 }
 
-void Leader::check_machine(Machine& m, bool fence) {
+void Leader::check_machine(Machine& m, bool fence, double wait) {
     const auto& s = c_.settings;
     double t = now(), silent = t - m.last_heard;
     if (m.life == Machine::Life::booting) {
@@ -478,8 +499,9 @@
         plan_soon();
     }
     if (m.life != Machine::Life::up) return;
-    if (silent > s.report_s * s.op.silence_reports && (fence || (lease_over && authority()))) {
+    if (silent > wait && (fence || (lease_over && authority()))) {
         std::lock_guard lock(mutex_);
+        fenced_.push_back(t);
         condemn(m, "is silent");
     } else if (fence && m.notice_until >= 0 && m.tasks.empty() && m.settled) {
         std::lock_guard lock(mutex_);
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -30,7 +30,10 @@
     Planner& planner;
     Metrics& metrics;
     const std::vector<wire::MachineType>& types;
-    std::function<bool()> give_way;  // whether another controller could lead instead; noted if so
+    // How many of these machines another controller lately heard from, at the most; nothing if no other
+    // answers and could lead.
+    std::function<std::optional<std::size_t>(const std::set<std::string>&)> heard_elsewhere;
+    std::function<bool()> give_way;  // whether to resign for it; noted if so
 };
 
 class Leader : public std::enable_shared_from_this<Leader> {
@@ -79,7 +82,7 @@
     void handle_found(const wire::TaskId& task, const std::string& machine);
     void task_error(jobs::Entry& e, const fleet::End& end);
     void stop_active(const std::string& id, jobs::Entry& e, double grace_s);
-    void check_machine(fleet::Machine& m, bool fence);
+    void check_machine(fleet::Machine& m, bool fence, double wait);
     void check_machines();
     void condemn(fleet::Machine& m, const char* why);
     void store_condemned(const std::string& id);
@@ -140,6 +143,7 @@
     bool planning_ = false, plan_wanted_ = false;
     double last_plan_ = -1, last_capacity_ = -1, last_list_ = -1, remove_retry_ = 0;
     bool listed_once_ = false;
+    std::deque<double> fenced_;     // when machines were fenced for silence
     std::set<std::string> drains_;  // guarded by mutex_
     loop::TimerId tick_timer_ = 0;
 };
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace coralhitch::wire {
 
@@ -17,8 +18,9 @@
     std::uint64_t incarnation = 0;
     std::uint64_t leader_version = 0;  // the newest leadership the sender knows of
     std::string leader;
-    bool state_ok = false;  // the state service answered the sender lately
-    MSGPACK_DEFINE(label, incarnation, leader_version, leader, state_ok)
+    bool state_ok = false;             // the state service answered the sender lately
+    std::vector<std::string> workers;  // machines that lately reported to the sender, which does not lead
+    MSGPACK_DEFINE(label, incarnation, leader_version, leader, state_ok, workers)
 };
 struct PeerJobQuery {
     std::string id;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -108,7 +108,7 @@
 }
 
 TEST(Peer, RoundTripsAndRefusesNoise) {
-    PeerPing p{"berth-1", 7, 1ull << 60, "berth-2", true};
+    PeerPing p{"berth-1", 7, 1ull << 60, "berth-2", true, {"vm-1"}};
     auto back = unpack_peer<PeerPing>(pack_peer(p));
     ASSERT_TRUE(back);
     EXPECT_EQ(back->leader_version, 1ull << 60);
