--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -299,7 +299,11 @@
                   end.machine, end.reported, static_cast<int>(end.cause));
     if (end.stray) --e->strays;
     auto a = e->active.find(end.task.index);
-    bool ours = a != e->active.end() && a->second.machine == end.machine && a->second.attempt == end.attempt;
+    // The place is free if the picture holds nothing there any more: an old attempt that is reported as exited
+    // once more says nothing about the one that came after it.
+    auto* there = picture_.find(end.machine);
+    bool ours = a != e->active.end() && a->second.machine == end.machine &&
+                !(there && there->tasks.contains(end.task));
     if (ours) e->active.erase(a);
     auto& spec = *e->spec;
     bool gang = spec.kind == Kind::gang;
@@ -452,6 +456,8 @@
     std::size_t late = silent_ids.size() + fenced_.size();
     bool fence = authority();
     double wait = s.report_s * s.op.silence_reports;
+    // Nothing is placed while a machine is unsettled, and one that is well answers a direct command at once.
+    double unsettled_wait = std::min(wait, s.report_s * probe_reports);
     if (static_cast<double>(late) > static_cast<double>(up) * suspect_share) {
         // Many silent at once: this controller may be cut off from them. Workers that get no answer turn to
         // the other controllers, so these know: if they hear machines, one of them should lead; if they hear
@@ -465,13 +471,14 @@
             return;
         }
         wait += s.report_s * turn_reports;
+        unsettled_wait = wait;
         fence = fence && elsewhere && *elsewhere * 2 < silent_ids.size();
     }
     std::vector<std::string> ids;
     for (auto& [id, m] : picture_.machines()) ids.push_back(id);
     for (auto& id : ids) {
         auto* m = picture_.find(id);
-        if (m) check_machine(*m, fence, wait);
+        if (m) check_machine(*m, fence, m->settled ? wait : unsettled_wait);
     }
 }
 
@@ -488,7 +495,9 @@
         }
         return;
     }
-    if (silent > s.report_s * probe_reports && t - m.last_probe > s.report_s / 2) probe(m);
+    bool due = m.settled ? silent > s.report_s * probe_reports && t - m.last_probe > s.report_s / 2
+                         : t - m.last_probe > s.report_s / 3;
+    if (due) probe(m);
     // Proof by time: the worker kills its tasks lease_s after it sent the last report that was answered. That
     // report was sent before its answer; an answer to a delayed report counts too.
     bool lease_over = t > m.renewed + s.lease_s * (1 + 2 * drift) + s.report_s / 3;
