Users' requests are passed on by a controller cut off from the state service; fence after 1.6 reports

Causes: users came back to such a controller until the load balancer noticed; a machine's death cost its replicas 6 s.

--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -24,7 +24,7 @@
 };
 struct Operator {
     double lease_ratio = 0.1;
-    double silence_reports = 2.0;
+    double silence_reports = 1.6;
     std::uint32_t draws = 2;
     std::uint32_t draw_rounds = 4;
     double reserve_ratio = 0.3;
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -15,6 +15,7 @@
 constexpr double heard_reports = 1.5;
 constexpr std::size_t most_named = 1000;  // a sample does in a larger fleet
 constexpr double counts_reports = 1.0 / 10;
+constexpr double pass_on_reports = 1.0 / 3;
 constexpr double types_reports = 20;
 // After giving way, a controller keeps its leadership for this many worker leases, even if it hears nobody.
 constexpr double resign_leases = 4;
@@ -193,7 +194,7 @@
     if (path == paths::report) {
         if (only("POST")) hello(r.body, std::move(reply));
     } else if (path.starts_with(paths::jobs)) {
-        jobs_route(r, path, std::move(reply));
+        user_route(r, path, std::move(reply));
     } else if (path == paths::health) {
         if (only("GET")) reply({healthy() ? 200 : 503, "{}"});
     } else if (path == paths::metrics) {
@@ -203,9 +204,36 @@
     }
 }
 
+const Controller::PeerState* Controller::peer_with_state() const {
+    for (auto& [label, p] : peers_)
+        if (fresh(p) && p.last.state_ok) return &p;
+    return nullptr;
+}
+// A controller that alone is cut off from the state service passes its users' requests on: they would otherwise
+// come back to it until the load balancer has noticed.
+void Controller::user_route(const http::Request& r, const std::string& path, http::Reply reply) {
+    if (!state_ok() && peer_with_state()) return ask_peer(r, {503, "{}", "application/json", 1}, std::move(reply));
+    jobs_route(r, path, [this, r, reply](http::Response a) {
+        if (a.status == 503 && !state_ok() && peer_with_state()) return ask_peer(r, std::move(a), reply);
+        reply(std::move(a));
+    });
+}
+void Controller::ask_peer(const http::Request& r, http::Response refusal, http::Reply reply) {
+    auto body = wire::pack_peer(wire::PeerUserRequest{r.method, r.target, r.body});
+    http_.send(peer_with_state()->peer.addr,
+               {"POST", std::string(wire::peer_user_path), std::move(body), "application/msgpack"},
+               settings_.report_s * pass_on_reports, [refusal, reply](std::optional<http::Response> a) {
+                   if (a && a->status == 200)
+                       if (auto p = wire::unpack_peer<wire::PeerUserAnswer>(a->body))
+                           return reply({p->status, std::move(p->body), "application/json", p->retry_after_s});
+                   reply(refusal);
+               });
+}
+
 void Controller::jobs_route(const http::Request& r, const std::string& path, http::Reply reply) {
-    std::string rest = path.substr(paths::jobs.size());
     auto wrong = [&](int status, const char* what) { reply({status, wire::error_body(what)}); };
+    if (!path.starts_with(paths::jobs)) return wrong(404, "no such path");
+    std::string rest = path.substr(paths::jobs.size());
     if (rest.empty()) {
         if (r.method != "POST") return wrong(405, "wrong method");
         double begun = timers_.now();
@@ -283,6 +311,15 @@
             heard_ping(*p);
             return reply(packed(wire::pack_peer(own_ping())));
         }
+    } else if (r.target == wire::peer_user_path) {
+        if (auto q = wire::unpack_peer<wire::PeerUserRequest>(r.body)) {
+            // Not passed on again: two controllers must not send a request back and forth.
+            return jobs_route({q->method, q->target, q->body}, q->target.substr(0, q->target.find('?')),
+                              [reply](http::Response a) {
+                                  reply(packed(wire::pack_peer(
+                                      wire::PeerUserAnswer{a.status, std::move(a.body), a.retry_after_s})));
+                              });
+        }
     } else if (r.target == wire::peer_job_path) {
         if (auto q = wire::unpack_peer<wire::PeerJobQuery>(r.body)) {
             auto c = leader_ ? leader_->counts(q->id) : std::nullopt;
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -32,7 +32,10 @@
         wire::PeerPing last;
         double heard = -1;
     };
+    void user_route(const http::Request& r, const std::string& path, http::Reply reply);
     void jobs_route(const http::Request& r, const std::string& path, http::Reply reply);
+    const PeerState* peer_with_state() const;
+    void ask_peer(const http::Request& r, http::Response refusal, http::Reply reply);
     void hello(const std::string& body, http::Reply reply);
     void won(std::uint64_t version);
     void lost();
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -10,6 +10,7 @@
 namespace coralhitch::wire {
 
 inline constexpr std::string_view peer_ping_path = "/peer/ping";
+inline constexpr std::string_view peer_user_path = "/peer/user";
 inline constexpr std::string_view peer_job_path = "/peer/job";
 inline constexpr std::string_view peer_cancelled_path = "/peer/cancelled";
 
@@ -22,6 +23,17 @@
     std::vector<std::string> workers;  // machines that lately reported to the sender, which does not lead
     MSGPACK_DEFINE(label, incarnation, leader_version, leader, state_ok, workers)
 };
+// A user's request that its controller can't decide, since it does not reach the state service.
+struct PeerUserRequest {
+    std::string method, target, body;
+    MSGPACK_DEFINE(method, target, body)
+};
+struct PeerUserAnswer {
+    int status = 503;
+    std::string body;
+    double retry_after_s = 0;
+    MSGPACK_DEFINE(status, body, retry_after_s)
+};
 struct PeerJobQuery {
     std::string id;
     MSGPACK_DEFINE(id)
