--- /dev/null
+++ b/tests/election_test.cpp
@@ -0,0 +1,172 @@
+// Leadership under late, lost and repeated answers, with an injected clock and network.
+#include "state/election.hpp"
+
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include <map>
+
+#include "state/keys.hpp"
+
+namespace coralhitch::state {
+namespace {
+
+class FakeTimers : public loop::Timers {
+  public:
+    double now() const override { return now_; }
+    double unix_time() const override { return now_; }
+    loop::TimerId after(double s, loop::Task task) override {
+        tasks_.emplace(std::pair(now_ + s, ++next_), std::move(task));
+        return next_;
+    }
+    void cancel(loop::TimerId) override {}
+    void run_until(double t) {
+        while (!tasks_.empty() && tasks_.begin()->first.first <= t) {
+            auto node = tasks_.extract(tasks_.begin());
+            now_ = std::max(now_, node.key().first);
+            node.mapped()();
+        }
+        now_ = t;
+    }
+
+  private:
+    double now_ = 0;
+    loop::TimerId next_ = 0;
+    std::map<std::pair<double, loop::TimerId>, loop::Task> tasks_;
+};
+
+// A state service of one key. Requests can be refused, or their answers lost after they were executed.
+class FakeState : public http::Requester {
+  public:
+    explicit FakeState(FakeTimers& t) : timers_(t) {}
+    bool refuse = false, lose_txn_answer = false, lose_renewals = false;
+    std::uint64_t version = 0, lease = 0, leases = 0, revision = 4;
+    std::string value;
+
+    void send(const std::string&, http::Request r, double timeout, http::Result result) override {
+        auto answer = execute(r);
+        double wait = answer ? 0.01 : timeout;
+        timers_.after(wait, [answer, result] { result(answer); });
+    }
+
+  private:
+    std::optional<http::Response> execute(const http::Request& r) {
+        if (refuse) return http::Response{503, "{}"};
+        if (r.target.starts_with("/kv/")) {
+            if (!version) return http::Response{404, "{\"epoch\":" + std::to_string(revision) + "}"};
+            return http::Response{200, "{\"path\":\"leader\",\"value\":" + value +
+                                           ",\"stamp\":" + std::to_string(version) +
+                                           ",\"mooring\":" + std::to_string(lease) + "}"};
+        }
+        if (r.target == "/holds")
+            return http::Response{200, "{\"mooring\":" + std::to_string(++leases) + "}"};
+        if (r.target == "/txn") {
+            if (version) return http::Response{409, R"({"failed":["leader"],"epoch":9})"};
+            version = ++revision;
+            lease = leases;
+            auto at = r.body.find("\"value\":") + 8;
+            value = r.body.substr(at, r.body.find('}', at) - at + 1);
+            if (std::exchange(lose_txn_answer, false)) return std::nullopt;
+            return http::Response{200, "{\"epoch\":" + std::to_string(version) + "}"};
+        }
+        if (r.target.starts_with("/holds/")) {
+            if (lose_renewals) return std::nullopt;
+            if (r.method == "DELETE") version = 0;
+            return http::Response{version ? 200 : 404, "{\"mooring\":1}"};
+        }
+        return std::nullopt;  // watches wait
+    }
+    FakeTimers& timers_;
+};
+
+struct Bench {
+    FakeTimers timers;
+    FakeState service{timers};
+    config::Settings settings = [] {
+        config::Settings s;
+        s.label = "berth-0";
+        s.report_s = 3;
+        s.lease_s = 30;
+        s.state_rps = 100;
+        s.state_write_rps = 50;
+        return s;
+    }();
+    Client client{timers, service, settings};
+    Election election{timers, client, settings, 77, 1};
+    int won = 0, lost = 0;
+    void start() {
+        spdlog::set_level(spdlog::level::off);
+        election.start({[this](std::uint64_t) { ++won; }, [this] { ++lost; }, {}});
+    }
+};
+
+TEST(Election, WinsAnEmptyKeyAndTakesItsVersion) {
+    Bench b;
+    b.start();
+    b.timers.run_until(1);
+    EXPECT_TRUE(b.election.authority());
+    EXPECT_EQ(b.election.version(), b.service.version);
+    EXPECT_EQ(b.won, 1);
+}
+TEST(Election, ALostAnswerIsResolvedByReading) {
+    Bench b;
+    b.service.lose_txn_answer = true;  // executed, but nobody was told
+    b.start();
+    b.timers.run_until(5);
+    EXPECT_TRUE(b.election.holding());
+    EXPECT_EQ(b.election.version(), b.service.version);
+    EXPECT_EQ(b.won, 1);
+}
+TEST(Election, AuthorityEndsByTheSendingOfTheLastRenewal) {
+    for (bool lost : {true, false}) {
+        Bench b;
+        b.start();
+        b.timers.run_until(1);
+        (lost ? b.service.lose_renewals : b.service.refuse) = true;
+        b.timers.run_until(1 + b.election.ttl());
+        EXPECT_TRUE(b.election.holding());     // nobody said that it is over
+        EXPECT_FALSE(b.election.authority());  // but it may be
+        b.service.lose_renewals = b.service.refuse = false;
+        b.timers.run_until(2 + 2 * b.election.ttl());
+        EXPECT_TRUE(b.election.authority());
+        EXPECT_EQ(b.lost, 0);
+    }
+}
+TEST(Election, ALeaseThatIsGoneEndsLeadershipAndALaterOneHasAHigherVersion) {
+    Bench b;
+    b.start();
+    b.timers.run_until(1);
+    auto first = b.election.version();
+    b.service.version = 0;
+    b.timers.run_until(10);
+    EXPECT_EQ(b.lost, 1);
+    EXPECT_EQ(b.won, 2);
+    EXPECT_GT(b.election.version(), first);
+}
+TEST(Election, FollowsAnotherLeaderAndBelievesANewerOne) {
+    Bench b;
+    b.service.version = 3;
+    b.service.lease = 9;
+    b.service.value = R"({"incarnation":5,"label":"berth-1"})";
+    b.start();
+    b.timers.run_until(1);
+    EXPECT_FALSE(b.election.holding());
+    EXPECT_EQ(b.election.leader(), "berth-1");
+    b.election.peer_says("berth-2", 2);  // older than what is known
+    EXPECT_EQ(b.election.leader(), "berth-1");
+    b.election.peer_says("berth-2", 8);
+    EXPECT_EQ(b.election.leader(), "berth-2");
+}
+TEST(Election, EndsTheLeaseOfItsOwnEarlierProcess) {
+    Bench b;
+    b.service.version = 3;
+    b.service.lease = 9;
+    b.service.value = R"({"incarnation":5,"label":"berth-0"})";
+    b.start();
+    b.timers.run_until(3);
+    EXPECT_TRUE(b.election.holding());
+    EXPECT_GT(b.election.version(), 3u);
+}
+
+}  // namespace
+}  // namespace coralhitch::state
