--- a/src/capacity/capacity.cpp
+++ b/src/capacity/capacity.cpp
@@ -121,8 +121,9 @@
         double gpus = largest.gpus > 0 ? sum.gpus / largest.gpus : 0;
         return std::max(cpus, gpus);
     }
+    double surplus() const { return spare() - spare_wanted(); }
     void reserve() {
-        while (!in_.types.empty() && spare() < spare_wanted()) {
+        while (!in_.types.empty() && surplus() < 0) {
             wire::Job any;  // ordinary machines serve every job; where there are none, spot ones relieve them
             if (open(any, {})) continue;
             any.spot = true;
@@ -132,20 +133,20 @@
     // Two random choices spread tasks over all machines, so none would ever become empty. The surplus is
     // therefore left out of the draws: emptiest first, never a machine that holds a service.
     void drain(Decisions& d) {
-        double surplus = spare() - spare_wanted();
+        double left = surplus();
         std::vector<const Bin*> order;
         for (auto& b : bins_)
             if (b.machine && !b.machine->booting && b.machine->services == 0) order.push_back(&b);
         auto key = [](const Bin* b) { return std::tuple(b->machine->tasks, !b->machine->draining, b->spot); };
         std::sort(order.begin(), order.end(), [&](auto* a, auto* b) { return key(a) < key(b); });
         for (auto* b : order) {
-            if (surplus < 1) return;
+            if (left < 1) return;
             d.drains.insert(b->machine->id);
-            surplus -= 1;
+            left -= 1;
         }
     }
     void give_back(Decisions& d) {
-        double extra = spare() - spare_wanted();
+        double left = surplus();
         std::vector<const Bin*> idle;
         for (auto& b : bins_) {
             if (!b.machine || b.machine->booting || !b.machine->empty) continue;
@@ -158,9 +159,9 @@
         std::sort(idle.begin(), idle.end(),
                   [](auto* a, auto* b) { return a->machine->idle_for > b->machine->idle_for; });
         for (auto* b : idle) {
-            if (extra < 1) return;
+            if (left < 1) return;
             d.returns.push_back(b->machine->id);
-            extra -= 1;
+            left -= 1;
         }
     }
 
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -43,7 +43,7 @@
 }
 
 void Controller::start() {
-    election_.start({[this](std::uint64_t v) { won(v); }, [this] { lost(); }, {}});
+    election_.start({[this](std::uint64_t v) { won(v); }, [this] { lost(); }});
     learn_types();
     ping_peers();
     check_state();
@@ -209,10 +209,11 @@
         if (fresh(p) && p.last.state_ok) return &p;
     return nullptr;
 }
-// A controller that alone is cut off from the state service passes its users' requests on: they would otherwise
-// come back to it until the load balancer has noticed.
+// A controller that alone is cut off from the state service passes its users' requests on: they would
+// otherwise come back to it until the load balancer has noticed.
 void Controller::user_route(const http::Request& r, const std::string& path, http::Reply reply) {
-    if (!state_ok() && peer_with_state()) return ask_peer(r, {503, "{}", "application/json", 1}, std::move(reply));
+    if (!state_ok() && peer_with_state())
+        return ask_peer(r, {503, "{}", "application/json", 1}, std::move(reply));
     jobs_route(r, path, [this, r, reply](http::Response a) {
         if (a.status == 503 && !state_ok() && peer_with_state()) return ask_peer(r, std::move(a), reply);
         reply(std::move(a));
@@ -220,14 +221,15 @@
 }
 void Controller::ask_peer(const http::Request& r, http::Response refusal, http::Reply reply) {
     auto body = wire::pack_peer(wire::PeerUserRequest{r.method, r.target, r.body});
-    http_.send(peer_with_state()->peer.addr,
-               {"POST", std::string(wire::peer_user_path), std::move(body), "application/msgpack"},
-               settings_.report_s * pass_on_reports, [refusal, reply](std::optional<http::Response> a) {
-                   if (a && a->status == 200)
-                       if (auto p = wire::unpack_peer<wire::PeerUserAnswer>(a->body))
-                           return reply({p->status, std::move(p->body), "application/json", p->retry_after_s});
-                   reply(refusal);
-               });
+    http_.send(
+        peer_with_state()->peer.addr,
+        {"POST", std::string(wire::peer_user_path), std::move(body), "application/msgpack"},
+        settings_.report_s * pass_on_reports, [refusal, reply](std::optional<http::Response> a) {
+            if (a && a->status == 200)
+                if (auto p = wire::unpack_peer<wire::PeerUserAnswer>(a->body))
+                    return reply({p->status, std::move(p->body), "application/json", p->retry_after_s});
+            reply(refusal);
+        });
 }
 
 void Controller::jobs_route(const http::Request& r, const std::string& path, http::Reply reply) {
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -299,8 +299,8 @@
                   end.machine, end.reported, static_cast<int>(end.cause));
     if (end.stray) --e->strays;
     auto a = e->active.find(end.task.index);
-    // The place is free if the picture holds nothing there any more: an old attempt that is reported as exited
-    // once more says nothing about the one that came after it.
+    // The place is free if the picture holds nothing there any more: an old attempt that is reported as
+    // exited once more says nothing about the one that came after it.
     auto* there = picture_.find(end.machine);
     bool ours = a != e->active.end() && a->second.machine == end.machine &&
                 !(there && there->tasks.contains(end.task));
@@ -853,7 +853,6 @@
 placement::Input Leader::snapshot() {
     placement::Input in;
     in.now = now();
-    in.unix_now = c_.timers.unix_time();
     std::map<std::string, std::size_t> job_index;
     for (auto& [id, e] : table_.all()) {
         placement::JobView j;
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -45,7 +45,7 @@
     std::set<std::string> failed_on;
 };
 struct Input {
-    double now = 0, unix_now = 0;
+    double now = 0;
     std::vector<MachineView> machines;
     std::vector<InstanceView> instances;
     std::vector<JobView> jobs;
--- a/src/state/election.cpp
+++ b/src/state/election.cpp
@@ -43,7 +43,6 @@
             leader_ = r.label;
             leader_version_ = e.version;
             spdlog::info("election: {} leads with version {}", leader_, leader_version_);
-            if (events_.changed) events_.changed();
         }
     } catch (const wire::Malformed& m) {
         spdlog::error("election: leader record: {}", m.what());
@@ -185,7 +184,6 @@
         lose();
         leader_ = leader;
     }
-    if (events_.changed) events_.changed();
 }
 
 void Election::resign(double pause_s) {
--- a/src/state/election.hpp
+++ b/src/state/election.hpp
@@ -12,7 +12,6 @@
     struct Events {
         std::function<void(std::uint64_t version)> won;
         std::function<void()> lost;
-        std::function<void()> changed;  // another leader is known, or none
     };
     Election(loop::Timers& timers, Client& state, const config::Settings& settings, std::uint64_t incarnation,
              std::uint64_t seed);
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -94,9 +94,15 @@
     Client client{timers, service, settings};
     Election election{timers, client, settings, 77, 1};
     int won = 0, lost = 0;
+    // The key as another process left it.
+    void held_by(const std::string& label) {
+        service.version = 3;
+        service.lease = 9;
+        service.value = R"({"incarnation":5,"label":")" + label + "\"}";
+    }
     void start() {
         spdlog::set_level(spdlog::level::off);
-        election.start({[this](std::uint64_t) { ++won; }, [this] { ++lost; }, {}});
+        election.start({[this](std::uint64_t) { ++won; }, [this] { ++lost; }});
     }
 };
 
@@ -145,9 +151,7 @@
 }
 TEST(Election, FollowsAnotherLeaderAndBelievesANewerOne) {
     Bench b;
-    b.service.version = 3;
-    b.service.lease = 9;
-    b.service.value = R"({"incarnation":5,"label":"berth-1"})";
+    b.held_by("berth-1");
     b.start();
     b.timers.run_until(1);
     EXPECT_FALSE(b.election.holding());
@@ -159,9 +163,7 @@
 }
 TEST(Election, EndsTheLeaseOfItsOwnEarlierProcess) {
     Bench b;
-    b.service.version = 3;
-    b.service.lease = 9;
-    b.service.value = R"({"incarnation":5,"label":"berth-0"})";
+    b.held_by("berth-0");
     b.start();
     b.timers.run_until(3);
     EXPECT_TRUE(b.election.holding());
--- a/tests/standin.cpp
+++ b/tests/standin.cpp
@@ -157,8 +157,6 @@
         if (std::exchange(*done, true)) return;
         result(std::move(answer));
     };
-    // The sender may have crashed meanwhile: its process is gone, and nobody reads the answer.
-    std::shared_ptr<bool> alive;
     for (auto& n : nodes_)
         if (n.settings.listen == from) n.timers->after(timeout, [end] { end(std::nullopt); });
     auto sender = from;
