--- a/src/capacity/capacity.cpp
+++ b/src/capacity/capacity.cpp
@@ -2,44 +2,42 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <optional>
 #include <tuple>
 
-#include "placement/placement.hpp"
-
 namespace coralhitch::capacity {
 namespace {
 
 struct Bin {
-    std::string type, zone;
-    bool spot = false;
-    wire::Room total, free;
+    std::size_t pool = 0;
+    wire::Room free;
     const MachineView* machine = nullptr;  // null: would be rented
 };
 
-double free_share(const Bin& b) {
-    double s = 1;
-    if (b.total.cpus > 0) s = std::min(s, b.free.cpus / b.total.cpus);
-    if (b.total.gpus > 0) s = std::min(s, b.free.gpus / b.total.gpus);
-    if (b.total.memory_gb > 0) s = std::min(s, b.free.memory_gb / b.total.memory_gb);
-    return std::max(0.0, s);
-}
-
 class Packer {
   public:
-    Packer(const Input& in, const config::Settings& settings) : in_(in), settings_(settings) {
+    Packer(const Input& in, const config::Settings& settings)
+        : in_(in), settings_(settings), per_zone_(in.zones), rented_type_(in.pools.size(), nullptr) {
+        for (std::size_t p = 0; p < in.pools.size(); ++p)
+            for (auto& t : in.types)
+                if (t.name == in.pools[p].type &&
+                    std::find(t.zones.begin(), t.zones.end(), in.pools[p].zone) != t.zones.end())
+                    rented_type_[p] = &t;
         for (auto& m : in.machines) {
-            bins_.push_back({m.type, m.zone, m.spot, m.total, m.booting ? m.total : m.free, &m});
-            ++per_zone_[m.zone];
+            bins_.push_back({m.pool, m.booting ? pool(m.pool).total : m.free, &m});
+            ++per_zone_[pool(m.pool).zone_index];
         }
     }
     Decisions run() {
         for (auto& n : in_.needs) pack(n);
+        for (auto& b : bins_) spare_ += free_share(b);
         reserve();
         Decisions d;
-        std::map<Pool, int> rents;
+        std::map<std::size_t, int> rents;
         for (auto& b : bins_)
-            if (!b.machine) ++rents[{b.type, b.zone, b.spot}];
-        for (auto& [p, n] : rents) d.rents.push_back({std::get<0>(p), std::get<1>(p), std::get<2>(p), n});
+            if (!b.machine) ++rents[b.pool];
+        for (auto& [p, n] : rents) d.rents.push_back({p, n});
         if (d.rents.empty()) {
             drain(d);
             give_back(d);
@@ -48,63 +46,65 @@
     }
 
   private:
+    const placement::Pool& pool(std::size_t p) const { return in_.pools[p]; }
     bool full() const { return settings_.op.max_machines > 0 && bins_.size() >= settings_.op.max_machines; }
+    double free_share(const Bin& b) const {
+        auto& total = pool(b.pool).total;
+        double s = 1;
+        if (total.cpus > 0) s = std::min(s, b.free.cpus / total.cpus);
+        if (total.gpus > 0) s = std::min(s, b.free.gpus / total.gpus);
+        if (total.memory_gb > 0) s = std::min(s, b.free.memory_gb / total.memory_gb);
+        return std::max(0.0, s);
+    }
 
+    std::vector<bool> pools_of(const wire::Job& job, const placement::ZoneCounts& zones) const {
+        std::vector<bool> set(in_.pools.size());
+        for (std::size_t p = 0; p < set.size(); ++p)
+            set[p] = placement::type_allowed(job, pool(p).type, pool(p).zone, pool(p).spot) &&
+                     placement::zone_allowed(job, zones, pool(p).zone_index);
+        return set;
+    }
     void pack(const Need& n) {
         auto zones = n.zones;
+        zones.resize(in_.zones);
+        auto pools = pools_of(*n.job, zones);
+        bool zoned = n.job->spread || n.job->one_zone;
+        std::size_t at = 0;  // bins before it have no room for another of these tasks
         for (std::size_t k = 0; k < n.count; ++k) {
-            Bin* to = nullptr;
-            for (auto& b : bins_)
-                if (b.free.holds(n.job->need) && placement::type_allowed(*n.job, b.type, b.zone, b.spot) &&
-                    placement::zone_allowed(*n.job, zones, b.zone)) {
-                    to = &b;
-                    break;
-                }
-            if (!to) to = open(*n.job, zones);
-            if (!to) return;
-            to->free -= n.job->need;
-            ++zones[to->zone];
+            while (at < bins_.size() && !(pools[bins_[at].pool] && bins_[at].free.holds(n.job->need))) ++at;
+            if (at == bins_.size() && !open(*n.job, pools)) return;
+            bins_[at].free -= n.job->need;
+            if (!zoned) continue;
+            ++zones[pool(bins_[at].pool).zone_index];
+            pools = pools_of(*n.job, zones);
         }
     }
     // A machine to rent for the job: the cheapest per task it holds, then the zone with the fewest machines.
-    Bin* open(const wire::Job& job, const std::map<std::string, int>& zones) {
-        if (full()) return nullptr;
-        const wire::MachineType* best = nullptr;
-        std::string best_zone;
-        bool best_spot = false;
+    bool open(const wire::Job& job, const std::vector<bool>& pools) {
+        if (full()) return false;
+        std::optional<std::size_t> best;
         double best_cost = 0;
-        for (auto& t : in_.types) {
-            if (!t.room.holds(job.need)) continue;
-            double holds = t.room.gpus > 0 && job.need.gpus > 0 ? t.room.gpus / job.need.gpus : 1;
-            if (job.need.cpus > 0) holds = std::min(holds, t.room.cpus / job.need.cpus);
-            for (auto& z : t.zones)
-                for (bool spot : {true, false}) {
-                    if (!placement::type_allowed(job, t.name, z, spot)) continue;
-                    if (!placement::zone_allowed(job, zones, z)) continue;
-                    if (in_.refused.contains({t.name, z, spot})) continue;
-                    double cost = (spot ? t.spot_price : t.price) / std::max(1.0, std::floor(holds));
-                    bool better = !best || cost < best_cost - 1e-9 ||
-                                  (cost < best_cost + 1e-9 && per_zone_[z] < per_zone_[best_zone]);
-                    if (!better) continue;
-                    best = &t;
-                    best_zone = z;
-                    best_spot = spot;
-                    best_cost = cost;
-                }
+        for (std::size_t p = 0; p < pools.size(); ++p) {
+            auto* t = rented_type_[p];
+            if (!t || !pools[p] || !t->room.holds(job.need) || in_.refused.contains(p)) continue;
+            double holds = t->room.gpus > 0 && job.need.gpus > 0 ? t->room.gpus / job.need.gpus : 1;
+            if (job.need.cpus > 0) holds = std::min(holds, t->room.cpus / job.need.cpus);
+            double cost = (pool(p).spot ? t->spot_price : t->price) / std::max(1.0, std::floor(holds));
+            bool better = !best || cost < best_cost - 1e-9 ||
+                          (cost < best_cost + 1e-9 &&
+                           per_zone_[pool(p).zone_index] < per_zone_[pool(*best).zone_index]);
+            if (!better) continue;
+            best = p;
+            best_cost = cost;
         }
-        if (!best) return nullptr;
-        ++per_zone_[best_zone];
-        bins_.push_back({best->name, best_zone, best_spot, best->room, best->room, nullptr});
-        return &bins_.back();
+        if (!best) return false;
+        ++per_zone_[pool(*best).zone_index];
+        bins_.push_back({*best, rented_type_[*best]->room, nullptr});
+        return true;
     }
     // Free room, in whole machines, and what it should be.
-    double spare() const {
-        double s = 0;
-        for (auto& b : bins_) s += free_share(b);
-        return s;
-    }
     double spare_wanted() const {
-        double used = static_cast<double>(bins_.size()) - spare();
+        double used = static_cast<double>(bins_.size()) - spare_;
         if (used <= 0) return 0;
         return std::max({1.0, used * settings_.op.reserve_ratio, guaranteed() - used});
     }
@@ -121,13 +121,15 @@
         double gpus = largest.gpus > 0 ? sum.gpus / largest.gpus : 0;
         return std::max(cpus, gpus);
     }
-    double surplus() const { return spare() - spare_wanted(); }
+    double surplus() const { return spare_ - spare_wanted(); }
     void reserve() {
+        wire::Job any;  // ordinary machines serve every job; where there are none, spot ones relieve them
+        auto ordinary = pools_of(any, {});
+        any.spot = true;
+        auto every = pools_of(any, {});
         while (!in_.types.empty() && surplus() < 0) {
-            wire::Job any;  // ordinary machines serve every job; where there are none, spot ones relieve them
-            if (open(any, {})) continue;
-            any.spot = true;
-            if (!open(any, {})) return;
+            if (!open(any, ordinary) && !open(any, every)) return;
+            spare_ += 1;
         }
     }
     // Two random choices spread tasks over all machines, so none would ever become empty. The surplus is
@@ -137,7 +139,9 @@
         std::vector<const Bin*> order;
         for (auto& b : bins_)
             if (b.machine && !b.machine->booting && b.machine->services == 0) order.push_back(&b);
-        auto key = [](const Bin* b) { return std::tuple(b->machine->tasks, !b->machine->draining, b->spot); };
+        auto key = [&](const Bin* b) {
+            return std::tuple(b->machine->tasks, !b->machine->draining, pool(b->pool).spot);
+        };
         std::sort(order.begin(), order.end(), [&](auto* a, auto* b) { return key(a) < key(b); });
         for (auto* b : order) {
             if (left < 1) return;
@@ -150,9 +154,8 @@
         std::vector<const Bin*> idle;
         for (auto& b : bins_) {
             if (!b.machine || b.machine->booting || !b.machine->empty) continue;
-            double boot = 0;
-            for (auto& t : in_.types)
-                if (t.name == b.type) boot = t.boot_s;
+            auto* type = rented_type_[b.pool];
+            double boot = type ? type->boot_s : 0;
             bool untouched = free_share(b) > 1 - 1e-9;  // nothing that waits was packed onto it
             if (untouched && b.machine->idle_for > boot * settings_.op.idle_boots) idle.push_back(&b);
         }
@@ -168,7 +171,9 @@
     const Input& in_;
     const config::Settings& settings_;
     std::vector<Bin> bins_;
-    std::map<std::string, int> per_zone_;
+    double spare_ = 0;
+    std::vector<int> per_zone_;
+    std::vector<const wire::MachineType*> rented_type_;  // by pool; null: can't be rented
 };
 
 }  // namespace
--- a/src/capacity/capacity.hpp
+++ b/src/capacity/capacity.hpp
@@ -1,22 +1,20 @@
 // What to rent and what to return: a pure function of machines and unmet need.
 #pragma once
-#include <map>
 #include <set>
 #include <string>
-#include <tuple>
 #include <vector>
 
 #include "config/settings.hpp"
+#include "placement/placement.hpp"
 #include "wire/model.hpp"
 
 namespace coralhitch::capacity {
 
-using Pool = std::tuple<std::string, std::string, bool>;  // type, zone, spot
-
 struct MachineView {
-    std::string id, type, zone;
-    bool spot = false, booting = false;
-    wire::Room total, free;
+    std::string id;
+    std::size_t pool = 0;
+    bool booting = false;
+    wire::Room free;
     bool empty = false;
     bool draining = false;  // lately chosen to be emptied
     int tasks = 0, services = 0;
@@ -25,17 +23,18 @@
 struct Need {
     const wire::Job* job = nullptr;
     std::size_t count = 0;
-    std::map<std::string, int> zones;
+    placement::ZoneCounts zones;
 };
 struct Input {
     std::vector<wire::MachineType> types;
+    std::size_t zones = 0;               // how many there are
+    std::vector<placement::Pool> pools;  // all that the types allow, and any other that has machines
     std::vector<MachineView> machines;
     std::vector<Need> needs;
-    std::set<Pool> refused;  // lately without capacity
+    std::set<std::size_t> refused;  // pools lately without capacity
 };
 struct Rent {
-    std::string type, zone;
-    bool spot = false;
+    std::size_t pool = 0;
     int count = 0;
 };
 struct Decisions {
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -278,7 +278,7 @@
     auto it = m->tasks.find(task);
     if (!e || it == m->tasks.end()) return;  // of a job that is over: the picture stops it
     auto& i = it->second;
-    auto [a, fresh] = e->active.try_emplace(task.index, jobs::Active{machine, i.attempt});
+    auto [a, fresh] = e->active.try_emplace(task.index, jobs::Active{machine, i.attempt, zone_of(*m)});
     if (!fresh && a->second.machine != machine) {
         spdlog::error("task {} is on {} and on {}", task.str(), a->second.machine, machine);
         i.stray = true;
@@ -390,13 +390,22 @@
 }
 
 void Leader::flush_all() {
-    for (auto& [id, m] : picture_.machines()) flush(m);
+    std::vector<std::string> ids;
+    {
+        std::lock_guard lock(mutex_);
+        ids = picture_.to_flush();
+    }
+    for (auto& id : ids)
+        if (auto* m = picture_.find(id)) flush(*m);
 }
 void Leader::flush(Machine& m) {
     std::vector<wire::Command> commands;
     {
         std::lock_guard lock(mutex_);
-        if (m.session == 0) return;
+        if (m.session == 0) {
+            m.unsent = false;
+            return;
+        }
         commands = picture_.direct_now(m, now(), authority());
     }
     if (!commands.empty()) send_direct(m, std::move(commands));
@@ -836,10 +845,12 @@
     });
 }
 
-std::map<std::string, int> Leader::zones_of(const jobs::Entry& e) {
-    std::map<std::string, int> zones;
-    for (auto& [task, a] : e.active)
-        if (auto* m = picture_.find(a.machine)) ++zones[m->zone];
+std::size_t Leader::zone_of(const Machine& m) const {
+    return picture_.pools()[m.pool].zone_index;
+}
+placement::ZoneCounts Leader::zones_of(const jobs::Entry& e) const {
+    placement::ZoneCounts zones(picture_.zones());
+    for (auto& [task, a] : e.active) ++zones[a.zone];
     return zones;
 }
 std::map<std::string, wire::Room> Leader::team_used() {
@@ -853,7 +864,11 @@
 placement::Input Leader::snapshot() {
     placement::Input in;
     in.now = now();
-    std::map<std::string, std::size_t> job_index;
+    in.pools = picture_.pools();
+    in.zones = picture_.zones();
+    in.machines.reserve(picture_.machines().size());
+    in.jobs.reserve(table_.all().size());
+    std::unordered_map<const wire::Job*, std::size_t> job_index;
     for (auto& [id, e] : table_.all()) {
         placement::JobView j;
         j.spec = e.spec;
@@ -864,28 +879,25 @@
         j.zones = zones_of(e);
         j.active = static_cast<int>(e.active.size());
         j.failed_on = e.failed_on;
-        job_index[id] = in.jobs.size();
+        j.image = picture_.image(e.spec->image);
+        job_index[e.spec.get()] = in.jobs.size();
         in.jobs.push_back(std::move(j));
     }
     in.team_used = team_used();
     for (auto& [id, m] : picture_.machines()) {
         placement::MachineView v;
         v.id = id;
-        v.type = m.type;
-        v.zone = m.zone;
-        v.spot = m.spot;
-        v.usable = m.usable(now()) && !m.has_unknown();
-        v.draining = drains_.contains(id);
-        v.total = m.total;
+        v.pool = m.pool;
+        v.usable = m.usable(in.now) && !m.has_unknown();
+        v.draining = m.draining;
         v.free = m.free();
         v.tasks = static_cast<int>(m.tasks.size());
         v.images = m.images;
         for (auto& [task, i] : m.tasks) {
-            auto it = job_index.find(task.job);
+            auto it = job_index.find(i.spec.get());
             if (it == job_index.end()) continue;
             in.instances.push_back({it->second, in.machines.size(), task.index,
-                                    i.stop || i.state == wire::TaskState::saving, i.seen, i.placed,
-                                    i.running_since});
+                                    i.stop || i.state == wire::TaskState::saving, i.placed, i.running_since});
         }
         in.machines.push_back(std::move(v));
     }
@@ -896,11 +908,15 @@
 capacity::Input Leader::rentals() const {
     capacity::Input in;
     in.types = c_.types;
+    in.pools = picture_.pools();
+    in.zones = picture_.zones();
     for (auto& [name, r] : rentals_)
         for (int k = 0; k < r.count; ++k) {
-            auto& [type, zone, spot] = r.pool;
-            for (auto& t : c_.types)
-                if (t.name == type) in.machines.push_back({name, type, zone, spot, true, t.room, t.room});
+            capacity::MachineView v;
+            v.id = name;
+            v.pool = r.pool;
+            v.booting = true;
+            in.machines.push_back(std::move(v));
         }
     for (auto& [pool, until] : refused_)
         if (until > now()) in.refused.insert(pool);
@@ -914,7 +930,11 @@
         bool booting = m->life == Machine::Life::booting;
         if (!booting && !v.usable) continue;
         // With what the plan has just decided to start.
-        capacity::MachineView c{v.id, v.type, v.zone, v.spot, booting, v.total, v.free};
+        capacity::MachineView c;
+        c.id = v.id;
+        c.pool = v.pool;
+        c.booting = booting;
+        c.free = v.free;
         c.empty = m->tasks.empty() && v.tasks == 0;
         c.draining = v.draining;
         c.tasks = v.tasks;
@@ -930,16 +950,16 @@
 }
 
 bool Leader::may_start(jobs::Entry& e, std::uint32_t task, Machine& m,
-                       const std::map<std::string, int>& zones) {
+                       const placement::ZoneCounts& zones) {
     auto& spec = *e.spec;
     return !e.cancelled && e.strays == 0 && !e.is_done(task) && !e.active.contains(task) && m.usable(now()) &&
            !m.has_unknown() && !m.tasks.contains({spec.id, task}) && m.free().holds(spec.need) &&
            placement::type_allowed(spec, m.type, m.zone, m.spot) &&
-           placement::zone_allowed(spec, zones, m.zone);
+           placement::zone_allowed(spec, zones, zone_of(m));
 }
 
 // Every start is checked again: since the snapshot, reports and cancellations have come in.
-void Leader::apply_starts(Plan& p, std::set<std::string>& touched) {
+void Leader::apply_starts(Plan& p) {
     auto used = team_used();
     auto& starts = p.out.starts;
     for (std::size_t k = 0; k < starts.size();) {
@@ -954,21 +974,22 @@
                                  [&](auto& t) { return e && t.name == e->spec->team; });
         std::vector<std::pair<Machine*, std::uint32_t>> placed;
         bool ok = e && team != c_.settings.teams.end() && (!gang || e->active.empty());
+        auto zones = ok ? zones_of(*e) : placement::ZoneCounts{};
         auto attempt = picture_.base_token() + ++attempts_;
         for (std::size_t i = k; ok && i < end; ++i) {
             auto* m = picture_.find(p.in.machines[starts[i].machine].id);
             auto task = starts[i].task;
-            ok = m && may_start(*e, task, *m, zones_of(*e)) &&
+            ok = m && may_start(*e, task, *m, zones) &&
                  placement::team_allows(*team, used[e->spec->team], e->spec->need);
             if (!ok) break;
             used[e->spec->team] += e->spec->need;
             picture_.place(*m, {id, task}, e->spec, attempt, now());
-            e->active[task] = {m->id, attempt};
+            e->active[task] = {m->id, attempt, zone_of(*m)};
+            ++zones[zone_of(*m)];
             placed.emplace_back(m, task);
         }
         if (ok) {
             for (auto& [m, task] : placed) {
-                touched.insert(m->id);
                 spdlog::debug("task {}/{} attempt {} goes to {}", id, task, attempt, m->id);
             }
         } else {
@@ -985,11 +1006,10 @@
 
 void Leader::apply(Plan& p) {
     if (!authority()) return;
-    std::set<std::string> touched;
     {
         std::lock_guard lock(mutex_);
         if (!all_settled()) return;
-        apply_starts(p, touched);
+        apply_starts(p);
         for (auto& s : p.out.stops) {
             auto& i = p.in.instances[s.instance];
             auto& spec = *p.in.jobs[i.job].spec;
@@ -997,16 +1017,15 @@
             if (!m || !m->tasks.contains({spec.id, i.task})) continue;
             spdlog::debug("task {}/{} is stopped for {}", spec.id, i.task, p.in.jobs[s.for_job].spec->id);
             picture_.stop(*m, {spec.id, i.task}, placement::grace_of(spec));
-            touched.insert(m->id);
         }
-        if (p.with_capacity) drains_ = p.capacity.drains;
+        if (p.with_capacity)
+            for (auto& [id, m] : picture_.machines()) m.draining = p.capacity.drains.contains(id);
         for (auto& id : p.capacity.returns) {
             auto* m = picture_.find(id);
             if (m && m->tasks.empty() && m->settled) condemn(*m, "is idle");
         }
     }
-    for (auto& id : touched)
-        if (auto* m = picture_.find(id)) flush(*m);
+    flush_all();
     auto& n = p.out.counts;
     c_.metrics.drawn("tasks", static_cast<double>(n.tasks));
     c_.metrics.drawn("draws", static_cast<double>(n.draws));
@@ -1016,14 +1035,18 @@
     c_.metrics.drawn("preempted", static_cast<double>(n.preempted));
     // What an earlier leader rented last is in no report yet; the list may show it.
     if (p.with_capacity && listed_once_)
-        for (auto& r : p.capacity.rents) rent(r);
+        for (auto& r : p.capacity.rents)
+            for (int left = r.count; left > 0; left -= cloud::Client::rent_most)
+                rent({r.pool, std::min(left, cloud::Client::rent_most)});
 }
 
 void Leader::rent(const capacity::Rent& r) {
     // Names are never used again, by any controller: the version belongs to this leadership alone.
     std::string name = "r-" + std::to_string(version_) + "-" + std::to_string(++rentals_made_);
-    rentals_[name] = {{r.type, r.zone, r.spot}, std::min(r.count, cloud::Client::rent_most), false};
-    spdlog::info("renting {} {} {} in {} as {}", r.count, r.spot ? "spot" : "ordinary", r.type, r.zone, name);
+    auto& pool = picture_.pools()[r.pool];
+    rentals_[name] = {r.pool, r.count, false};
+    spdlog::info("renting {} {} {} in {} as {}", r.count, pool.spot ? "spot" : "ordinary", pool.type,
+                 pool.zone, name);
     ask_rental(name);
 }
 // Asked again under the same name until it is answered, so that nothing is rented twice.
@@ -1031,8 +1054,8 @@
     auto& r = rentals_.at(name);
     if (r.asking || !authority()) return;
     r.asking = true;
-    auto& [type, zone, spot] = r.pool;
-    c_.cloud.rent(name, type, zone, spot, r.count, guarded([this, name](cloud::Rented out) {
+    auto& pool = picture_.pools()[r.pool];
+    c_.cloud.rent(name, pool.type, pool.zone, pool.spot, r.count, guarded([this, name](cloud::Rented out) {
                       auto it = rentals_.find(name);
                       if (it == rentals_.end()) return;
                       auto& r = it->second;
@@ -1042,10 +1065,11 @@
                           refused_[r.pool] = now() + c_.settings.report_s * refused_reports;
                       {
                           std::lock_guard lock(mutex_);
-                          auto& [type, zone, spot] = r.pool;
+                          auto pool = picture_.pools()[r.pool];
                           for (auto& id : out.machines)
                               if (!picture_.is_gone(id))
-                                  picture_.add(id, "", type, zone, spot, Machine::Life::booting, now());
+                                  picture_.add(id, "", pool.type, pool.zone, pool.spot,
+                                               Machine::Life::booting, now());
                       }
                       rentals_.erase(it);
                   }));
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <random>
 #include <set>
+#include <unordered_map>
 
 #include "api/users.hpp"
 #include "capacity/capacity.hpp"
@@ -51,7 +52,7 @@
 
   private:
     struct Rental {
-        capacity::Pool pool;
+        std::size_t pool = 0;
         int count = 0;
         bool asking = false;
     };
@@ -116,12 +117,13 @@
     capacity::Input rentals() const;
     void fill_capacity(Plan& p);
     void apply(Plan& p);
-    void apply_starts(Plan& p, std::set<std::string>& touched);
+    void apply_starts(Plan& p);
     bool may_start(jobs::Entry& e, std::uint32_t task, fleet::Machine& m,
-                   const std::map<std::string, int>& zones);
+                   const placement::ZoneCounts& zones);
     void rent(const capacity::Rent& r);
     void ask_rental(const std::string& name);
-    std::map<std::string, int> zones_of(const jobs::Entry& e);
+    std::size_t zone_of(const fleet::Machine& m) const;
+    placement::ZoneCounts zones_of(const jobs::Entry& e) const;
     std::map<std::string, wire::Room> team_used();
 
     Context c_;
@@ -137,14 +139,13 @@
     std::deque<std::pair<wire::Report, http::Reply>> early_;  // reports that came before the jobs were loaded
     std::uint64_t attempts_ = 0, rentals_made_ = 0;
     std::map<std::string, Rental> rentals_;
-    std::map<capacity::Pool, double> refused_;  // until when
+    std::map<std::size_t, double> refused_;  // pools without capacity, until when
     std::set<std::string> keys_to_drop_;
     bool dropping_ = false, storing_machines_ = false, listing_ = false, removing_ = false;
     bool planning_ = false, plan_wanted_ = false;
     double last_plan_ = -1, last_capacity_ = -1, last_list_ = -1, remove_retry_ = 0;
     bool listed_once_ = false;
-    std::deque<double> fenced_;     // when machines were fenced for silence
-    std::set<std::string> drains_;  // guarded by mutex_
+    std::deque<double> fenced_;  // when machines were fenced for silence
     loop::TimerId tick_timer_ = 0;
 };
 
--- a/src/fleet/picture.cpp
+++ b/src/fleet/picture.cpp
@@ -24,8 +24,38 @@
 }
 void Picture::set_types(const std::vector<wire::MachineType>& types) {
     for (auto& t : types) rooms_[t.name] = t.room;
-    for (auto& [id, m] : machines_)
-        if (auto it = rooms_.find(m.type); it != rooms_.end()) m.total = it->second;
+    for (auto& p : pools_)
+        if (auto it = rooms_.find(p.type); it != rooms_.end()) p.total = it->second;
+    for (auto& t : types)
+        for (auto& z : t.zones)
+            for (bool spot : {false, true}) pool_of(t.name, z, spot);
+    for (auto& [id, m] : machines_) m.total = pools_[m.pool].total;
+}
+std::size_t Picture::pool_of(const std::string& type, const std::string& zone, bool spot) {
+    for (std::size_t p = 0; p < pools_.size(); ++p)
+        if (pools_[p].spot == spot && pools_[p].zone == zone && pools_[p].type == type) return p;
+    auto z = std::find(zones_.begin(), zones_.end(), zone);
+    auto index = static_cast<std::size_t>(z - zones_.begin());
+    if (z == zones_.end()) zones_.push_back(zone);
+    auto room = rooms_.find(type);
+    pools_.push_back({type, zone, spot, index, room == rooms_.end() ? wire::Room{} : room->second});
+    return pools_.size() - 1;
+}
+std::uint32_t Picture::image(const std::string& name) {
+    return images_.try_emplace(name, static_cast<std::uint32_t>(images_.size())).first->second;
+}
+void Picture::has_image(Machine& m, const std::string& name) {
+    auto id = image(name);
+    auto images = m.images ? *m.images : wire::Images{};
+    auto at = std::lower_bound(images.begin(), images.end(), id);
+    if (at != images.end() && *at == id) return;
+    images.insert(at, id);
+    m.images = std::make_shared<const wire::Images>(std::move(images));
+}
+void Picture::flush_later(Machine& m) {
+    if (m.unsent) return;
+    m.unsent = true;
+    to_flush_.push_back(m.id);
 }
 Machine* Picture::find(const std::string& id) {
     auto it = machines_.find(id);
@@ -44,7 +74,8 @@
         m.type = type;
         m.zone = zone;
         m.spot = spot;
-        if (auto r = rooms_.find(type); r != rooms_.end()) m.total = r->second;
+        m.pool = pool_of(type, zone, spot);
+        m.total = pools_[m.pool].total;
     }
     return m;
 }
@@ -141,7 +172,8 @@
         auto& i = it->second;
         i.seen = true;
         i.state = t.state;
-        if (i.spec && t.state != TaskState::fetching) m.images.insert(i.spec->image);
+        if (i.spec && t.state != TaskState::fetching && !std::exchange(i.image_noted, true))
+            has_image(m, i.spec->image);
         if (t.state != TaskState::fetching && t.state != TaskState::waiting && i.running_since < 0)
             i.running_since = now;
     }
@@ -203,18 +235,25 @@
 
 std::vector<Command> Picture::direct_now(Machine& m, double now, bool authority) {
     authority = authority && m.settled && m.life == Machine::Life::up;
+    m.unsent = false;
     std::vector<Command> out;
+    bool held_back = false;
     for (auto& [id, i] : m.tasks) {
         if (i.stop) {
             if (i.stop_sent >= 0) continue;
             out.push_back({Op::stop, id, i.attempt, i.grace_s});
             i.stop_sent = now;
-        } else if (i.spec && i.ready && !i.seen && i.run_token == 0 && authority) {
+        } else if (i.spec && i.ready && !i.seen && i.run_token == 0) {
+            if (!authority) {
+                held_back = true;
+                continue;
+            }
             out.push_back({Op::start, id, i.attempt, 0});
             i.run_token = m.token;
             ++i.direct;
         }
     }
+    if (held_back) flush_later(m);
     return out;
 }
 
@@ -241,6 +280,7 @@
     i.placed = now;
     i.ready = m.stored;
     m.idle_since = now;
+    flush_later(m);
     return i;
 }
 void Picture::stop(Machine& m, const wire::TaskId& task, double grace_s) {
@@ -251,6 +291,7 @@
     i.stop = true;
     i.grace_s = grace_s;
     i.stop_sent = -1;
+    flush_later(m);
     if (!i.seen && m.token <= i.run_token) m.token = i.run_token + 1;
 }
 void Picture::stored(const std::string& job, const std::set<std::uint32_t>& tasks) {
--- a/src/fleet/picture.hpp
+++ b/src/fleet/picture.hpp
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "wire/model.hpp"
@@ -26,6 +27,7 @@
     bool seen = false;  // a report showed it
     bool ready = true;  // its machine is stored, so `run` may be sent
     bool stop = false;
+    bool image_noted = false;
     bool stray = false;  // a second instance of a task: never wanted, still counted
     double grace_s = 0, placed = 0, running_since = -1, stop_sent = -1;
     std::uint64_t run_token = 0;        // highest token a `run` went out under
@@ -44,6 +46,7 @@
 struct Machine {
     std::string id, addr, type, zone;
     bool spot = false;
+    std::size_t pool = 0;
     wire::Room total;
     enum class Life { booting, up, condemned } life = Life::booting;
     bool stored = false, storing = false;  // its key at the state service
@@ -57,7 +60,9 @@
     int probes = 0;
     std::map<wire::TaskId, Instance> tasks;
     std::map<std::pair<wire::TaskId, std::uint64_t>, Ended> ended;
-    std::set<std::string> images;
+    std::shared_ptr<const wire::Images> images;  // replaced, never changed: plans hold on to it
+    bool draining = false;                       // surplus, by the last plan of what to rent and return
+    bool unsent = false;                         // among those that `to_flush` names
     std::set<std::string> error_jobs;
     double avoid_until = 0;
 
@@ -125,12 +130,25 @@
     std::map<std::string, Machine>& machines() { return machines_; }
     const std::map<std::string, Machine>& machines() const { return machines_; }
     std::uint64_t base_token() const { return base_; }
+    const std::vector<wire::Pool>& pools() const { return pools_; }
+    std::size_t zones() const { return zones_.size(); }
+    std::uint32_t image(const std::string& name);
+    // Machines for which direct commands may be due; walking all of them after every report took longer than
+    // the reports themselves.
+    std::vector<std::string> to_flush() { return std::exchange(to_flush_, {}); }
+    void flush_later(Machine& m);
 
   private:
+    std::size_t pool_of(const std::string& type, const std::string& zone, bool spot);
+    void has_image(Machine& m, const std::string& image);
     std::vector<End> vanish_all(Machine& m);
     void fence_unsure(Machine& m);
     std::uint64_t base_;
     std::map<std::string, wire::Room> rooms_;
+    std::vector<wire::Pool> pools_;
+    std::vector<std::string> zones_;
+    std::map<std::string, std::uint32_t> images_;
+    std::vector<std::string> to_flush_;
     std::map<std::string, Machine> machines_;
     std::unordered_set<std::string> gone_;
 };
--- a/src/jobs/table.hpp
+++ b/src/jobs/table.hpp
@@ -15,11 +15,13 @@
 struct Active {
     std::string machine;
     std::uint64_t attempt = 0;
+    std::size_t zone = 0;  // its index in the picture
 };
 
 struct Entry {
     std::shared_ptr<const wire::Job> spec;
     std::uint64_t version = 0;
+    std::uint32_t image = 0;  // the picture's number for it
     double submitted = 0;  // unix seconds
     bool cancelled = false;
     std::vector<bool> done;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,7 +1,7 @@
 #include "placement/placement.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <array>
 #include <limits>
 
 namespace coralhitch::placement {
@@ -14,13 +14,12 @@
     if (job.zone && *job.zone != zone) return false;
     return job.spot || !spot;
 }
-bool zone_allowed(const wire::Job& job, const std::map<std::string, int>& zones, const std::string& zone) {
+bool zone_allowed(const wire::Job& job, const ZoneCounts& zones, std::size_t zone) {
     if (job.one_zone)
-        for (auto& [z, n] : zones)
-            if (n > 0 && z != zone) return false;
+        for (std::size_t z = 0; z < zones.size(); ++z)
+            if (zones[z] > 0 && z != zone) return false;
     if (job.spread) {
-        auto it = zones.find(zone);
-        int there = it == zones.end() ? 0 : it->second;
+        int there = zone < zones.size() ? zones[zone] : 0;
         if (there + 1 > static_cast<int>((job.tasks + 1) / 2)) return false;
     }
     return true;
@@ -47,23 +46,32 @@
     return s;
 }
 
+constexpr double whole_machine = 0.5;  // a task that takes more than this share of a machine is packed
+
 class Planner {
   public:
     Planner(Input& in, const config::Settings& settings, std::mt19937_64& random)
         : in_(in), settings_(settings), random_(random) {
+        for (auto& t : settings_.teams) teams_[t.name] = &t;
+        for (auto& j : in_.jobs) j.zones.resize(in_.zones);
         for (auto& m : in_.machines) m.soon = m.free;
+        by_pool_.resize(in_.pools.size());
+        for (std::size_t m = 0; m < in_.machines.size(); ++m)
+            if (in_.machines[m].usable) by_pool_[in_.machines[m].pool].push_back(m);
         for (auto& i : in_.instances)
-            if (i.stopping) in_.machines[i.machine].soon += in_.jobs[i.job].spec->need;
-        for (auto& t : settings_.teams) teams_[t.name] = &t;
+            if (i.stopping) in_.machines[i.machine].soon += need_of(i);
         stopping_.resize(in_.instances.size());
         by_machine_.resize(in_.machines.size());
         by_job_.resize(in_.jobs.size());
+        guarantees();
+        lowest_rank_.assign(in_.machines.size(), std::numeric_limits<int>::max());
         for (std::size_t k = 0; k < in_.instances.size(); ++k) {
-            stopping_[k] = in_.instances[k].stopping;
-            by_machine_[in_.instances[k].machine].push_back(k);
-            by_job_[in_.instances[k].job].push_back(k);
+            auto& i = in_.instances[k];
+            stopping_[k] = i.stopping;
+            by_machine_[i.machine].push_back(k);
+            by_job_[i.job].push_back(k);
+            lowest_rank_[i.machine] = std::min(lowest_rank_[i.machine], rank(i.job));
         }
-        guarantees();
         largest();
     }
 
@@ -88,6 +96,11 @@
     }
 
   private:
+    using Machines = std::vector<std::size_t>;
+    using PoolSet = std::vector<bool>;
+
+    const Room& need_of(const InstanceView& i) const { return in_.jobs[i.job].spec->need; }
+
     // A job is within its team's guarantee if it fits into it together with the team's earlier unfinished
     // jobs.
     void guarantees() {
@@ -136,29 +149,68 @@
         r.memory_gb = std::min(r.memory_gb, m.free.memory_gb);
         return r;
     }
-    std::vector<std::size_t> allowed(const JobView& j) const {
-        std::vector<std::size_t> out;
-        for (std::size_t m = 0; m < in_.machines.size(); ++m) {
-            auto& v = in_.machines[m];
-            if (v.usable && type_allowed(*j.spec, v.type, v.zone, v.spot) && !j.failed_on.contains(v.id))
-                out.push_back(m);
+    const Room& total(std::size_t m) const { return in_.pools[in_.machines[m].pool].total; }
+    std::size_t zone(std::size_t m) const { return in_.pools[in_.machines[m].pool].zone_index; }
+
+    // What the job's type, zone and kind allow, and its other tasks at present.
+    PoolSet pools_of(const JobView& j) const {
+        PoolSet set(in_.pools.size());
+        for (std::size_t p = 0; p < set.size(); ++p) {
+            auto& pool = in_.pools[p];
+            set[p] = type_allowed(*j.spec, pool.type, pool.zone, pool.spot) &&
+                     zone_allowed(*j.spec, j.zones, pool.zone_index);
+        }
+        return set;
+    }
+    template <class F>
+    void each_machine(const JobView& j, const PoolSet& pools, F f) const {
+        for (std::size_t p = 0; p < pools.size(); ++p) {
+            if (!pools[p]) continue;
+            for (auto m : by_pool_[p])
+                if (j.failed_on.empty() || !j.failed_on.contains(in_.machines[m].id)) f(m);
         }
+    }
+    Machines with_room(const JobView& j, const PoolSet& pools) const {
+        Machines out;
+        each_machine(j, pools, [&](auto m) {
+            if (open_room(in_.machines[m]).holds(j.spec->need)) out.push_back(m);
+        });
         return out;
     }
+
+    // What an earlier job of this plan found no room for, a later one that needs as much need not look for:
+    // within a plan room only shrinks. With thousands of tasks waiting and hardly any room, walking all
+    // machines for each of them took longer than everything else together.
+    struct Missed {
+        Room need;
+        PoolSet pools;
+    };
+    static bool covers(const PoolSet& a, const PoolSet& b) {
+        for (std::size_t p = 0; p < b.size(); ++p)
+            if (b[p] && !a[p]) return false;
+        return true;
+    }
+    bool known_full(const Room& need, const PoolSet& pools) const {
+        return std::any_of(full_.begin(), full_.end(),
+                           [&](auto& f) { return need.holds(f.need) && covers(f.pools, pools); });
+    }
+    void note_full(const JobView& j, const PoolSet& pools) {
+        if (j.failed_on.empty()) full_.push_back({j.spec->need, pools});
+    }
+
     void take(std::size_t j, std::uint32_t task, std::size_t m) {
         auto& job = in_.jobs[j];
         auto& v = in_.machines[m];
         v.free -= job.spec->need;
         v.soon -= job.spec->need;
         ++v.tasks;
-        v.images.insert(job.spec->image);
-        ++job.zones[v.zone];
+        if (!has_image(job, m)) v.coming.push_back(job.image);
+        ++job.zones[zone(m)];
         ++job.active;
         in_.team_used[job.spec->team] += job.spec->need;
         out_.starts.push_back({j, task, m});
         ++out_.counts.tasks;
     }
-
     void untake() {
         auto [j, task, m] = out_.starts.back();
         out_.starts.pop_back();
@@ -167,30 +219,56 @@
         v.free += job.spec->need;
         v.soon += job.spec->need;
         --v.tasks;
-        --job.zones[v.zone];
+        --job.zones[zone(m)];
         --job.active;
         in_.team_used[job.spec->team] -= job.spec->need;
         --out_.counts.tasks;
     }
 
+    bool has_image(const JobView& j, std::size_t m) const {
+        auto& v = in_.machines[m];
+        return (v.images && std::binary_search(v.images->begin(), v.images->end(), j.image)) ||
+               std::find(v.coming.begin(), v.coming.end(), j.image) != v.coming.end();
+    }
+    // The draws are made from the first of these sets that has a machine with room: those that have the
+    // image and keep whole room whole, those that have the image, those that keep whole room whole, others.
+    // Surplus machines come last.
+    static constexpr std::size_t tiers = 5;
+    std::size_t tier(const JobView& j, std::size_t m) const {
+        if (in_.machines[m].draining) return tiers - 1;
+        return (has_image(j, m) ? 0 : 2) + (breaks_up(*j.spec, m) ? 1 : 0);
+    }
+
     void singles(std::size_t j) {
         auto& job = in_.jobs[j];
         auto& spec = *job.spec;
-        auto machines = allowed(job);
+        auto pools = pools_of(job);
+        std::array<Machines, tiers> sets;
+        bool room = !known_full(spec.need, pools);
+        if (room)
+            for (auto m : with_room(job, pools)) sets[tier(job, m)].push_back(m);
         std::size_t missing = 0;
         for (std::size_t k = 0; k < job.waiting.size(); ++k) {
-            auto task = job.waiting[k];
             if (!team_ok(spec, 1)) break;
-            std::vector<std::size_t> fit;
-            for (auto m : machines)
-                if (zone_allowed(spec, job.zones, in_.machines[m].zone)) fit.push_back(m);
-            auto m = place_single(spec, fit);
+            std::optional<std::size_t> m;
+            if (room) m = spec_big(spec, pools) ? fullest(job, sets) : two_choices(sets);
             if (m) {
-                take(j, task, *m);
+                take(j, job.waiting[k], *m);
+                if (open_room(in_.machines[*m]).holds(spec.need)) sets[tier(job, *m)].push_back(*m);
+                if (spec.spread || spec.one_zone) {
+                    auto now = pools_of(job);
+                    if (now != pools) {
+                        pools = std::move(now);
+                        for (auto& s : sets)
+                            std::erase_if(s, [&](auto i) { return !pools[in_.machines[i].pool]; });
+                    }
+                }
                 continue;
             }
+            if (room) note_full(job, pools);
+            room = false;
             ++missing;
-            if (!make_room(j, fit)) {
+            if (!make_room(j, pools)) {
                 // No other task of this job fits either, unless its zone is another one.
                 missing += job.waiting.size() - k - 1;
                 break;
@@ -199,40 +277,20 @@
         if (missing) out_.unplaced.push_back({j, missing});
     }
 
-    // Surplus machines are left out of the draws, and small tasks leave whole room to the tasks that need it:
-    // each only while there is room elsewhere.
-    std::optional<std::size_t> place_single(const wire::Job& spec, const std::vector<std::size_t>& fit) {
-        std::vector<std::size_t> kept;
-        for (auto i : fit)
-            if (!in_.machines[i].draining) kept.push_back(i);
-        if (big(spec, fit)) {
-            auto m = fullest(spec, kept);
-            return m ? m : fullest(spec, fit);
-        }
-        auto having = [&](auto&& test) {
-            std::vector<std::size_t> some;
-            for (auto i : kept)
-                if (test(i)) some.push_back(i);
-            return two_choices(spec, some);
-        };
-        auto image = [&](auto i) { return in_.machines[i].images.contains(spec.image); };
-        auto sliced = [&](auto i) { return !breaks_up(spec, i); };
-        if (auto m = having([&](auto i) { return sliced(i) && image(i); })) return m;
-        if (auto m = having(image)) return m;
-        if (auto m = having(sliced)) return m;
-        if (auto m = two_choices(spec, kept)) return m;
-        return kept.size() < fit.size() ? two_choices(spec, fit) : std::nullopt;
-    }
     // The largest task of live jobs that goes to the fullest machine rather than to a drawn one.
     void largest() {
-        for (auto& j : in_.jobs)
-            for (auto& m : in_.machines) {
-                if (j.open == 0) break;
-                double s = share(j.spec->need, m.total);
-                if ((j.spec->kind != Kind::gang && s <= 0.5) || s > 1 || s <= largest_share_) continue;
+        std::vector<bool> used(in_.pools.size());
+        for (auto& m : in_.machines) used[m.pool] = true;
+        for (auto& j : in_.jobs) {
+            if (j.open == 0) continue;
+            for (std::size_t p = 0; p < used.size(); ++p) {
+                if (!used[p]) continue;
+                double s = share(j.spec->need, in_.pools[p].total);
+                if ((j.spec->kind != Kind::gang && s <= whole_machine) || s > 1 || s <= largest_share_) continue;
                 largest_share_ = s;
                 largest_ = j.spec->need;
             }
+        }
     }
     // Whether the task would take the room in which such a task still fits.
     bool breaks_up(const wire::Job& spec, std::size_t m) const {
@@ -242,40 +300,51 @@
         room -= spec.need;
         return !room.holds(largest_);
     }
-
-    bool big(const wire::Job& spec, const std::vector<std::size_t>& fit) const {
-        return std::any_of(fit.begin(), fit.end(),
-                           [&](auto m) { return share(spec.need, in_.machines[m].total) > 0.5; });
-    }
-    // The load measure: the tasks on the machine; having to fetch the image weighs more than any number of
-    // them.
-    static double load(const wire::Job& spec, const MachineView& m) {
-        constexpr double fetch = 1e3;
-        return m.tasks + (m.images.contains(spec.image) ? 0 : fetch);
-    }
-    std::optional<std::size_t> two_choices(const wire::Job& spec, const std::vector<std::size_t>& fit) {
-        auto k = draw(
-            fit.size(), [&](std::size_t i) { return open_room(in_.machines[fit[i]]).holds(spec.need); },
-            [&](std::size_t i) { return load(spec, in_.machines[fit[i]]); }, settings_.op, random_,
-            out_.counts);
-        return k ? std::optional(fit[*k]) : std::nullopt;
-    }
-    std::optional<std::size_t> fullest(const wire::Job& spec, const std::vector<std::size_t>& fit) {
-        std::optional<std::size_t> best;
+    bool spec_big(const wire::Job& spec, const PoolSet& pools) const {
+        for (std::size_t p = 0; p < pools.size(); ++p)
+            if (pools[p] && !by_pool_[p].empty() && share(spec.need, in_.pools[p].total) > whole_machine)
+                return true;
+        return false;
+    }
+    // The load measure: the tasks on the machine.
+    std::optional<std::size_t> two_choices(std::array<Machines, tiers>& sets) {
+        for (auto& set : sets) {
+            auto k = draw(
+                set.size(), [](std::size_t) { return true; },
+                [&](std::size_t i) { return in_.machines[set[i]].tasks; }, settings_.op, random_,
+                out_.counts);
+            if (k) return pull(set, *k);
+        }
+        return std::nullopt;
+    }
+    static std::size_t pull(Machines& set, std::size_t k) {
+        auto m = set[k];
+        set[k] = set.back();
+        set.pop_back();
+        return m;
+    }
+    std::optional<std::size_t> fullest(const JobView& job, std::array<Machines, tiers>& sets) {
+        Machines* from = nullptr;
+        std::size_t at = 0;
         double least = std::numeric_limits<double>::max();
-        for (auto m : fit) {
-            auto room = open_room(in_.machines[m]);
-            if (!room.holds(spec.need)) continue;
-            double left = share(room, in_.machines[m].total);
-            // Equally full: one that has the image need not fetch it.
-            if (!in_.machines[m].images.contains(spec.image)) left += 1e-3;
-            if (left < least) {
+        for (std::size_t t = 0; t < tiers; ++t) {
+            if (t == tiers - 1 && from) break;
+            for (std::size_t k = 0; k < sets[t].size(); ++k) {
+                double left = left_on(job, sets[t][k]);
+                if (left >= least) continue;
                 least = left;
-                best = m;
+                from = &sets[t];
+                at = k;
             }
         }
-        if (best) ++out_.counts.packed;
-        return best;
+        if (!from) return std::nullopt;
+        ++out_.counts.packed;
+        return pull(*from, at);
+    }
+    // How empty a machine is, for a task that goes to the fullest. Equally full: one that has the image need
+    // not fetch it.
+    double left_on(const JobView& job, std::size_t m) const {
+        return share(open_room(in_.machines[m]), total(m)) + (has_image(job, m) ? 0 : 1e-3);
     }
 
     void gang(std::size_t j) {
@@ -284,36 +353,54 @@
         // The tasks of an old attempt stay where they are until they exit; the next starts when all are gone.
         if (job.active > 0) return;
         if (!team_ok(spec, static_cast<double>(job.waiting.size()))) return;
-        auto machines = allowed(job);
-        std::vector<std::vector<std::size_t>> groups;
+        auto pools = pools_of(job);
+        std::vector<PoolSet> groups;
         if (spec.one_zone) {
-            std::map<std::string, std::vector<std::size_t>> zones;
-            for (auto m : machines) zones[in_.machines[m].zone].push_back(m);
-            for (auto& [z, g] : zones) groups.push_back(g);
+            for (std::size_t z = 0; z < in_.zones; ++z) {
+                auto only = pools;
+                for (std::size_t p = 0; p < only.size(); ++p)
+                    if (in_.pools[p].zone_index != z) only[p] = false;
+                groups.push_back(std::move(only));
+            }
             std::shuffle(groups.begin(), groups.end(), random_);
         } else {
-            groups.push_back(machines);
-        }
-        for (auto& g : groups) {
-            std::size_t taken = 0;
-            for (auto task : job.waiting) {
-                std::vector<std::size_t> fit;
-                for (auto m : g)
-                    if (zone_allowed(spec, job.zones, in_.machines[m].zone)) fit.push_back(m);
-                auto m = fullest(spec, fit);
-                if (!m) break;
-                take(j, task, *m);
-                ++taken;
-            }
-            if (taken == job.waiting.size()) return;
-            for (; taken > 0; --taken) untake();  // all tasks or none
+            groups.push_back(pools);
         }
+        for (auto& g : groups)
+            if (!known_full(spec.need, g) && place_all(j, g)) return;
         out_.unplaced.push_back({j, job.waiting.size()});
-        if (job.waiting.size() == 1)
-            make_room(j, machines);
-        else
-            for (auto& g : groups)
-                if (make_room_for_all(j, g)) return;
+        if (job.waiting.size() == 1) {
+            make_room(j, pools);
+            return;
+        }
+        for (auto& g : groups)
+            if (make_room_for_all(j, g)) return;
+    }
+    // All tasks or none.
+    bool place_all(std::size_t j, const PoolSet& pools) {
+        auto& job = in_.jobs[j];
+        auto& spec = *job.spec;
+        std::array<Machines, tiers> sets;
+        for (auto m : with_room(job, pools)) sets[in_.machines[m].draining ? tiers - 1 : 0].push_back(m);
+        if (sets[0].empty() && sets[tiers - 1].empty()) {
+            note_full(job, pools);
+            return false;
+        }
+        std::size_t taken = 0;
+        for (auto task : job.waiting) {
+            auto m = fullest(job, sets);
+            if (!m) break;
+            take(j, task, *m);
+            ++taken;
+            if (open_room(in_.machines[*m]).holds(spec.need))
+                sets[in_.machines[*m].draining ? tiers - 1 : 0].push_back(*m);
+            if (!spec.spread) continue;
+            for (auto& s : sets)
+                std::erase_if(s, [&](auto i) { return !zone_allowed(spec, job.zones, zone(i)); });
+        }
+        if (taken == job.waiting.size()) return true;
+        for (; taken > 0; --taken) untake();
+        return false;
     }
 
     // What is lost by stopping an instance, in seconds of work.
@@ -335,30 +422,35 @@
         auto& spec = *in_.jobs[j].spec;
         Room room = in_.machines[m].soon;
         room -= in_.machines[m].reserved;
+        Choice c;
+        c.cost = 0;
+        if (room.holds(spec.need)) return c;
+        if (lowest_rank_[m] >= rank(j)) return std::nullopt;
         std::vector<std::size_t> candidates;
+        Room most = room;
         for (auto k : by_machine_[m])
-            if (!stopping_[k] && may_displace(j, in_.instances[k].job)) candidates.push_back(k);
+            if (!stopping_[k] && may_displace(j, in_.instances[k].job)) {
+                candidates.push_back(k);
+                most += need_of(in_.instances[k]);
+            }
+        if (!most.holds(spec.need)) return std::nullopt;
         std::sort(candidates.begin(), candidates.end(), [&](auto a, auto b) {
             int ra = rank(in_.instances[a].job), rb = rank(in_.instances[b].job);
             if (ra != rb) return ra < rb;
             return loss(in_.instances[a]) < loss(in_.instances[b]);
         });
-        Choice c;
-        c.cost = 0;
         for (auto k : candidates) {
             if (room.holds(spec.need)) break;
-            room += in_.jobs[in_.instances[k].job].spec->need;
+            room += need_of(in_.instances[k]);
             c.victims.push_back(k);
             // A gang is stopped whole.
-            double times = in_.jobs[in_.instances[k].job].spec->kind == Kind::gang
-                               ? static_cast<double>(by_job_[in_.instances[k].job].size())
-                               : 1;
+            auto victim = in_.instances[k].job;
+            double times =
+                in_.jobs[victim].spec->kind == Kind::gang ? static_cast<double>(by_job_[victim].size()) : 1;
             c.cost += loss(in_.instances[k]) * times;
         }
-        if (!room.holds(spec.need)) return std::nullopt;
         return c;
     }
-    void reserve(std::size_t j, std::size_t m) { in_.machines[m].reserved += in_.jobs[j].spec->need; }
     void stop(const Choice& c, std::size_t j) {
         for (auto k : c.victims) {
             auto victim = in_.instances[k].job;
@@ -366,36 +458,60 @@
             for (auto other : whole ? by_job_[victim] : std::vector<std::size_t>{k}) {
                 if (stopping_[other]) continue;
                 stopping_[other] = true;
-                in_.machines[in_.instances[other].machine].soon += in_.jobs[victim].spec->need;
+                in_.machines[in_.instances[other].machine].soon += need_of(in_.instances[other]);
                 out_.stops.push_back({other, j});
                 ++out_.counts.preempted;
             }
         }
     }
+    // Jobs of one rank and team that need as much find nobody to displace either, until a place is emptied.
+    bool known_stuck(std::size_t j, const PoolSet& pools) const {
+        auto& spec = *in_.jobs[j].spec;
+        return std::any_of(stuck_.begin(), stuck_.end(), [&](auto& s) {
+            auto& other = *in_.jobs[s.job].spec;
+            return rank(s.job) == rank(j) && other.team == spec.team && spec.need.holds(other.need) &&
+                   covers(s.pools, pools);
+        });
+    }
     // Keeps a place for one waiting task: one that is being emptied, or one that is emptied for it.
-    bool make_room(std::size_t j, const std::vector<std::size_t>& machines) {
+    std::optional<std::size_t> make_room(std::size_t j, const PoolSet& pools) {
+        if (known_stuck(j, pools)) return std::nullopt;
         std::optional<std::size_t> best;
         Choice cheapest;
-        for (auto m : machines) {
+        each_machine(in_.jobs[j], pools, [&](auto m) {
+            if (cheapest.cost <= 0) return;
             auto c = victims_on(j, m);
-            if (!c || c->cost >= cheapest.cost) continue;
-            cheapest = *c;
+            if (!c || c->cost >= cheapest.cost) return;
+            cheapest = std::move(*c);
             best = m;
+        });
+        if (!best) {
+            if (in_.jobs[j].failed_on.empty()) stuck_.push_back({j, pools});
+            return std::nullopt;
         }
-        if (!best) return false;
         stop(cheapest, j);
-        reserve(j, *best);
-        return true;
+        in_.machines[*best].reserved += in_.jobs[j].spec->need;
+        // A gang that is stopped whole leaves places elsewhere, too.
+        if (!cheapest.victims.empty()) stuck_.clear();
+        return best;
     }
-    bool make_room_for_all(std::size_t j, const std::vector<std::size_t>& machines) {
-        auto saved_machines = in_.machines;
-        auto saved_stopping = stopping_;
-        auto saved_out = out_;
+    // For all tasks of a gang, or for none: what was decided for some is taken back.
+    bool make_room_for_all(std::size_t j, const PoolSet& pools) {
+        auto stops = out_.stops.size();
+        std::vector<std::size_t> kept;
         for (std::size_t n = 0; n < in_.jobs[j].waiting.size(); ++n) {
-            if (make_room(j, machines)) continue;
-            in_.machines = std::move(saved_machines);
-            stopping_ = std::move(saved_stopping);
-            out_ = std::move(saved_out);
+            if (auto m = make_room(j, pools)) {
+                kept.push_back(*m);
+                continue;
+            }
+            for (auto m : kept) in_.machines[m].reserved -= in_.jobs[j].spec->need;
+            for (; out_.stops.size() > stops; out_.stops.pop_back()) {
+                auto k = out_.stops.back().instance;
+                stopping_[k] = false;
+                in_.machines[in_.instances[k].machine].soon -= need_of(in_.instances[k]);
+                --out_.counts.preempted;
+            }
+            if (!kept.empty()) stuck_.clear();
             return false;
         }
         return true;
@@ -406,9 +522,17 @@
     std::mt19937_64& random_;
     std::map<std::string, const config::Team*> teams_;
     std::vector<bool> guaranteed_, stopping_;
+    std::vector<int> lowest_rank_;  // of what is on a machine
     Room largest_;
     double largest_share_ = 0;
+    std::vector<Machines> by_pool_;
     std::vector<std::vector<std::size_t>> by_machine_, by_job_;
+    struct Stuck {
+        std::size_t job;
+        PoolSet pools;
+    };
+    std::vector<Missed> full_;
+    std::vector<Stuck> stuck_;
     Decisions out_;
 };
 
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -18,34 +18,43 @@
 
 namespace coralhitch::placement {
 
+using wire::Images;
+using wire::Pool;
 struct MachineView {
-    std::string id, type, zone;
-    bool spot = false, usable = false;
+    std::string id;
+    std::size_t pool = 0;
+    bool usable = false;
     bool draining = false;  // surplus: used only if there is no room elsewhere
-    wire::Room total, free;
+    wire::Room free;
     int tasks = 0;
-    std::set<std::string> images;
-    wire::Room soon;      // free, and what is being stopped
-    wire::Room reserved;  // of `soon`, kept for tasks that wait for places being emptied
+    std::shared_ptr<const Images> images;  // null: none
+    std::vector<std::uint32_t> coming;     // images of what this plan starts there
+    wire::Room soon;                       // free, and what is being stopped
+    wire::Room reserved;                   // of `soon`, kept for tasks that wait for places being emptied
 };
 struct InstanceView {
     std::size_t job = 0, machine = 0;
     std::uint32_t task = 0;
-    bool stopping = false, seen = false;
+    bool stopping = false;
     double placed = 0, running_since = -1;
 };
+// How many tasks of a job may be in each zone, by the zone's index.
+using ZoneCounts = std::vector<int>;
 struct JobView {
     std::shared_ptr<const wire::Job> spec;
     double submitted = 0;   // unix seconds
     bool startable = true;  // not cancelled, not pausing, nothing unexplained
     std::vector<std::uint32_t> waiting;
-    std::size_t open = 0;              // tasks not done
-    std::map<std::string, int> zones;  // where tasks may still be
+    std::size_t open = 0;  // tasks not done
+    ZoneCounts zones;      // where tasks may still be
     int active = 0;
+    std::uint32_t image = 0;
     std::set<std::string> failed_on;
 };
 struct Input {
     double now = 0;
+    std::size_t zones = 0;  // how many there are
+    std::vector<Pool> pools;
     std::vector<MachineView> machines;
     std::vector<InstanceView> instances;
     std::vector<JobView> jobs;
@@ -75,7 +84,7 @@
 
 // Rules that hold for a single task, given where the job's other tasks are.
 bool type_allowed(const wire::Job& job, const std::string& type, const std::string& zone, bool spot);
-bool zone_allowed(const wire::Job& job, const std::map<std::string, int>& zones, const std::string& zone);
+bool zone_allowed(const wire::Job& job, const ZoneCounts& zones, std::size_t zone);
 bool team_allows(const config::Team& team, const wire::Room& used, const wire::Room& more);
 double grace_of(const wire::Job& job);
 // Two random choices among `n` machines: draws at random, skips those without room, and returns the one with
--- a/src/wire/model.hpp
+++ b/src/wire/model.hpp
@@ -94,6 +94,15 @@
     std::vector<std::string> zones;
 };
 
+// Machines of one type, zone and kind: what a job allows is decided once for all of them.
+struct Pool {
+    std::string type, zone;
+    bool spot = false;
+    std::size_t zone_index = 0;
+    Room total;
+};
+using Images = std::vector<std::uint32_t>;  // sorted; a number for each image's name
+
 enum class HostState { booting, running, failed };
 struct Host {
     std::string id, addr, type, zone;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -16,14 +16,16 @@
     s.teams = {{"a", 0, 0, 4, 8}, {"b", 0, 0, 4, 0}, {"free", 0, 0, 0, 0}};
     return s;
 }
-MachineView machine(const std::string& id, const std::string& zone = "z1", bool spot = false) {
+const std::vector<Pool> pools{{"g4", "z1", false, 0, {16, 4, 64}},
+                              {"g4", "z2", false, 1, {16, 4, 64}},
+                              {"g4", "z1", true, 0, {16, 4, 64}},
+                              {"g4", "z2", true, 1, {16, 4, 64}}};
+MachineView machine(const std::string& id, std::size_t pool = 0) {
     MachineView m;
     m.id = id;
-    m.type = "g4";
-    m.zone = zone;
-    m.spot = spot;
+    m.pool = pool;
     m.usable = true;
-    m.total = m.free = {16, 4, 64};
+    m.free = {16, 4, 64};
     return m;
 }
 JobView job(const std::string& id, Kind kind, std::uint32_t tasks, double gpus,
@@ -45,6 +47,8 @@
     return const_cast<wire::Job&>(*v.spec);
 }
 Decisions run(Input& in) {
+    in.pools = pools;
+    in.zones = 2;
     std::mt19937_64 random(1);
     static const auto s = settings();
     return plan(in, s, random);
@@ -54,22 +58,20 @@
     struct Case {
         bool one_zone, spread;
         std::uint32_t tasks;
-        std::map<std::string, int> zones;
+        ZoneCounts zones;
         bool allowed;
     };
     const Case cases[] = {
-        {true, false, 4, {}, true},           {true, false, 4, {{"z1", 2}}, true},
-        {true, false, 4, {{"z2", 1}}, false}, {true, false, 4, {{"z2", 0}}, true},
-        {false, true, 1, {}, true},           {false, true, 9, {{"z1", 4}}, true},
-        {false, true, 9, {{"z1", 5}}, false}, {false, true, 2, {{"z1", 1}}, false},
-        {false, true, 2, {{"z2", 1}}, true},
+        {true, false, 4, {}, true},      {true, false, 4, {2, 0}, true},  {true, false, 4, {0, 1}, false},
+        {true, false, 4, {0, 0}, true},  {false, true, 1, {}, true},      {false, true, 9, {4, 0}, true},
+        {false, true, 9, {5, 0}, false}, {false, true, 2, {1, 0}, false}, {false, true, 2, {0, 1}, true},
     };
     for (auto& c : cases) {
         wire::Job j;
         j.one_zone = c.one_zone;
         j.spread = c.spread;
         j.tasks = c.tasks;
-        EXPECT_EQ(zone_allowed(j, c.zones, "z1"), c.allowed) << c.one_zone << c.spread << c.tasks;
+        EXPECT_EQ(zone_allowed(j, c.zones, 0), c.allowed) << c.one_zone << c.spread << c.tasks;
     }
 }
 TEST(Rules, TypeZoneAndSpot) {
@@ -109,12 +111,12 @@
 }
 TEST(Plan, AGangInOneZoneNeverSpansTwo) {
     Input in;
-    in.machines = {machine("m0", "z1"), machine("m1", "z2"), machine("m2", "z2")};
+    in.machines = {machine("m0"), machine("m1", 1), machine("m2", 1)};
     in.jobs.push_back(job("j-1", Kind::gang, 2, 4));
     edit(in.jobs[0]).one_zone = true;
     auto d = run(in);
     ASSERT_EQ(d.starts.size(), 2u);
-    for (auto& s : d.starts) EXPECT_EQ(in.machines[s.machine].zone, "z2");
+    for (auto& s : d.starts) EXPECT_EQ(in.machines[s.machine].pool, 1u);
 }
 TEST(Plan, HigherPriorityAndGuaranteesDisplaceInATotalOrder) {
     struct Case {
@@ -145,7 +147,7 @@
         edit(in.jobs[1]).priority = c.running;
         in.jobs[1].waiting.clear();
         in.jobs[1].open = static_cast<std::size_t>(c.running_open);
-        for (std::uint32_t i = 0; i < 4; ++i) in.instances.push_back({1, 0, i, false, true, 100, 110});
+        for (std::uint32_t i = 0; i < 4; ++i) in.instances.push_back({1, 0, i, false, 100, 110});
         EXPECT_EQ(run(in).stops.size(), c.stops ? 1u : 0u) << c.name;
     }
 }
@@ -161,11 +163,52 @@
     in.jobs.push_back(job("j-3", Kind::array, 3, 1));
     in.jobs[2].waiting.clear();
     edit(in.jobs[2]).priority = Priority::low;
-    for (std::uint32_t i = 0; i < 3; ++i) in.instances.push_back({2, 0, i, i == 0, true, 100, 110});
+    for (std::uint32_t i = 0; i < 3; ++i) in.instances.push_back({2, 0, i, i == 0, 100, 110});
     auto d = run(in);
     EXPECT_TRUE(d.stops.empty());  // one is being stopped already, that is enough
     EXPECT_TRUE(d.starts.empty());
 }
+// With thousands of tasks waiting and hardly any room, a plan must not look for it again task by task. Jobs
+// that need less than what found no room, or may go where that may not, are still tried.
+TEST(Plan, WhatFoundNoRoomIsNotTriedAgainButSmallerOrFreerJobsAre) {
+    struct Case {
+        const char* name;
+        double gpus;
+        bool spot;
+        std::size_t starts;
+    };
+    const Case cases[] = {{"as much", 2, false, 0}, {"more", 3, false, 0}, {"less", 1, false, 1},
+                          {"as much, on spot", 2, true, 1}};
+    for (auto& c : cases) {
+        Input in;
+        in.machines = {machine("m0"), machine("m1", 3)};
+        in.machines[0].free = {16, 1, 64};
+        in.jobs.push_back(job("j-1", Kind::array, 1, 2));
+        in.jobs.push_back(job("j-2", Kind::array, 1, c.gpus));
+        edit(in.jobs[1]).spot = c.spot;
+        EXPECT_EQ(run(in).starts.size(), c.starts) << c.name;
+    }
+}
+// A gang that can't be given all its places keeps none, and what was to be stopped for it goes on.
+TEST(Plan, RoomIsMadeForAWholeGangOrNotAtAll) {
+    for (auto [low, stops] : {std::pair(2, 2u), {1, 0u}}) {
+        Input in;
+        in.now = 1000;
+        in.machines = {machine("m0"), machine("m1")};
+        in.jobs.push_back(job("j-1", Kind::gang, 2, 4));
+        edit(in.jobs[0]).priority = Priority::high;
+        for (std::size_t k = 0; k < 2; ++k) {
+            in.machines[k].free = {12, 0, 60};
+            in.jobs.push_back(job("j-" + std::to_string(k + 2), Kind::array, 1, 4));
+            in.jobs[k + 1].waiting.clear();
+            edit(in.jobs[k + 1]).priority =
+                static_cast<int>(k) < low ? Priority::low : Priority::production;
+            in.instances.push_back({k + 1, k, 0, false, 100, 110});
+        }
+        EXPECT_EQ(run(in).stops.size(), stops);
+        EXPECT_EQ(in.machines[0].reserved.gpus, stops ? 4 : 0);
+    }
+}
 TEST(Plan, SmallTasksLeaveWholeRoomToThoseThatNeedIt) {
     Input in;
     in.machines = {machine("m0"), machine("m1"), machine("m2")};
@@ -231,6 +274,8 @@
     s.teams = {{"free", 0, 0, 0, 0}};
     capacity::Input in;
     in.types = {{"g4", {16, 4, 64}, 100, 1, 10, 4, 30, {"z1", "z2"}}};
+    in.pools = pools;
+    in.zones = 2;
     auto waiting = job("j-1", Kind::array, 8, 1);
     in.needs.push_back({waiting.spec.get(), 8, {}});
     auto count = [](const capacity::Decisions& d) {
@@ -240,14 +285,14 @@
     };
     EXPECT_EQ(count(capacity::plan(in, s)), 3);  // two for the tasks, one in reserve
     for (int i = 0; i < 3; ++i) {
-        capacity::MachineView b{"b" + std::to_string(i), "g4", "z1", false, true, {16, 4, 64}, {}};
+        capacity::MachineView b{"b" + std::to_string(i), 0, true, {}};
         in.machines.push_back(b);
     }
     EXPECT_EQ(count(capacity::plan(in, s)), 0);  // on their way
     in.machines.clear();
     in.needs.clear();
     for (int i = 0; i < 4; ++i) {
-        capacity::MachineView u{"u" + std::to_string(i), "g4", "z1", false, false, {16, 4, 64}, {16, 4, 64}};
+        capacity::MachineView u{"u" + std::to_string(i), 0, false, {16, 4, 64}};
         u.empty = true;
         u.idle_for = 1000;
         in.machines.push_back(u);
@@ -265,17 +310,16 @@
     s.op.reserve_ratio = 0;
     capacity::Input in;
     in.types = {{"g4", {16, 4, 64}, 100, 1, 10, 4, 30, {"z1", "z2"}}};
+    in.pools = pools;
+    in.zones = 2;
     auto waiting = job("j-1", Kind::array, 1, 1);
     edit(waiting).spot = true;
     in.needs.push_back({waiting.spec.get(), 1, {}});
     auto spot_first = capacity::plan(in, s).rents;
     ASSERT_FALSE(spot_first.empty());
-    EXPECT_TRUE(std::any_of(spot_first.begin(), spot_first.end(), [](auto& r) { return r.spot; }));
-    in.refused = {{"g4", "z1", true}, {"g4", "z2", true}, {"g4", "z1", false}};
-    for (auto& r : capacity::plan(in, s).rents) {
-        EXPECT_EQ(r.zone, "z2");
-        EXPECT_FALSE(r.spot);
-    }
+    EXPECT_TRUE(std::any_of(spot_first.begin(), spot_first.end(), [](auto& r) { return pools[r.pool].spot; }));
+    in.refused = {0, 2, 3};
+    for (auto& r : capacity::plan(in, s).rents) EXPECT_EQ(r.pool, 1u);
 }
 
 }  // namespace
