--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -242,6 +242,7 @@
         return users_.submit(r.body, [this, begun, reply](http::Response a) {
             metrics_.submit_took(timers_.now() - begun);
             metrics_.request("submit", a.status);
+            if (a.status >= 429) spdlog::debug("submission put off with {}", a.status);
             reply(std::move(a));
         });
     }
