Reports are heard a few at a time, probes go in a window, counts come with pings, idle connections give way

Cause: at takeovers the new leader fell behind its processor share (gaps of over a second in its log), lost its lease again, and health checks timed out; each poll at a follower asked the leader for counts.

--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -15,6 +15,7 @@
 constexpr double heard_reports = 1.5;
 constexpr std::size_t most_named = 1000;  // a sample does in a larger fleet
 constexpr double counts_reports = 1.0 / 10;
+constexpr std::size_t reports_at_once = 8;
 constexpr double pass_on_reports = 1.0 / 3;
 constexpr double types_reports = 20;
 // After giving way, a controller keeps its leadership for this many worker leases, even if it hears nobody.
@@ -116,8 +117,8 @@
 wire::PeerPing Controller::own_ping() {
     std::erase_if(heard_,
                   [&](auto& h) { return timers_.now() - h.second > settings_.report_s * heard_reports; });
-    wire::PeerPing p{settings_.label,    incarnation_, election_.leader_version(),
-                     election_.leader(), state_ok(),   {}};
+    wire::PeerPing p{
+        settings_.label, incarnation_, election_.leader_version(), election_.leader(), state_ok(), {}, {}};
     for (auto& [id, at] : heard_) {
         if (p.workers.size() >= most_named) break;
         p.workers.push_back(id);
@@ -129,10 +130,18 @@
     if (it == peers_.end()) return;
     it->second.last = p;
     it->second.heard = timers_.now();
+    if (!p.counts.empty() && p.leader == p.label) {
+        counted_ = timers_.now();
+        counts_.clear();
+        for (auto& c : p.counts) counts_[c.id] = {c.done, c.running};
+        it->second.last.counts.clear();
+    }
     election_.peer_says(p.leader, p.leader_version);
 }
 void Controller::ping_peers() {
-    auto body = wire::pack_peer(own_ping());
+    auto ping = own_ping();
+    if (leader_) ping.counts = leader_->all_counts();
+    auto body = wire::pack_peer(ping);
     for (auto& [label, p] : peers_)
         http_.send(p.peer.addr, {"POST", std::string(wire::peer_ping_path), body, "application/msgpack"},
                    settings_.report_s * ping_reports, [this](std::optional<http::Response> r) {
@@ -192,7 +201,7 @@
         return false;
     };
     if (path == paths::report) {
-        if (only("POST")) hello(r.body, std::move(reply));
+        if (only("POST")) hello_later(std::move(r.body), std::move(reply));
     } else if (path.starts_with(paths::jobs)) {
         user_route(r, path, std::move(reply));
     } else if (path == paths::health) {
@@ -263,6 +272,26 @@
     users_.query(rest, counted("query"));
 }
 
+// Reports are most of the work. They are read as they come, but heard a few at a time in between: after a
+// takeover, when every worker calls at once, users, health checks and the lease's renewal must not wait
+// behind all of them.
+void Controller::hello_later(std::string body, http::Reply reply) {
+    reports_.push_back({std::move(body), std::move(reply), timers_.now()});
+    if (std::exchange(hearing_, true)) return;
+    timers_.after(0, [this] { hear_some(); });
+}
+void Controller::hear_some() {
+    for (std::size_t k = 0; k < reports_at_once && !reports_.empty(); ++k) {
+        auto w = std::move(reports_.front());
+        reports_.pop_front();
+        if (timers_.now() - w.since > wire::worker_patience_s)
+            w.reply({503, "{}"});  // the worker has gone elsewhere meanwhile
+        else
+            hello(w.body, std::move(w.reply));
+    }
+    hearing_ = !reports_.empty();
+    if (hearing_) timers_.after(0, [this] { hear_some(); });
+}
 void Controller::hello(const std::string& body, http::Reply reply) {
     wire::Report report;
     try {
@@ -284,6 +313,11 @@
 
 void Controller::counts(const std::string& id, std::function<void(std::optional<api::TaskCounts>)> done) {
     if (leader_) return done(leader_->counts(id));
+    // The leader's pings tell all of them: asking it for each poll took it more time than planning.
+    if (counted_ >= 0 && timers_.now() - counted_ < settings_.report_s * ping_reports * 1.5) {
+        auto it = counts_.find(id);
+        return done(it == counts_.end() ? api::TaskCounts{} : it->second);
+    }
     auto* peer = leading_peer();
     if (!peer) return done(std::nullopt);
     http_.send(peer->addr,
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -1,8 +1,10 @@
 // One controller: its interfaces, its part in the election, and the leader's work while it leads.
 #pragma once
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
+#include <unordered_map>
 
 #include "api/users.hpp"
 #include "daemon/leader.hpp"
@@ -36,6 +38,8 @@
     void jobs_route(const http::Request& r, const std::string& path, http::Reply reply);
     const PeerState* peer_with_state() const;
     void ask_peer(const http::Request& r, http::Response refusal, http::Reply reply);
+    void hello_later(std::string body, http::Reply reply);
+    void hear_some();
     void hello(const std::string& body, http::Reply reply);
     void won(std::uint64_t version);
     void lost();
@@ -68,6 +72,15 @@
     std::map<std::string, PeerState> peers_;
     std::shared_ptr<Leader> leader_;
     double last_resigned_ = -1;
+    struct Waiting {
+        std::string body;
+        http::Reply reply;
+        double since;
+    };
+    std::deque<Waiting> reports_;
+    bool hearing_ = false;
+    std::unordered_map<std::string, api::TaskCounts> counts_;  // from the leader's last ping
+    double counted_ = -1;
     std::map<std::string, double> heard_;  // machines that reported while another controller leads
     bool state_seen_ = false;
 };
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -23,6 +23,8 @@
 constexpr double tick_reports = 1.0 / 6;
 constexpr double plan_gap_reports = 1.0 / 12;
 constexpr double probe_reports = 1.27;
+constexpr double probe_timeout_reports = 0.4, direct_timeout_reports = 0.7;
+constexpr double probe_sockets = 1.0 / 8;  // of all sockets
 // Above this share of silent machines the leader doubts itself first.
 constexpr double suspect_share = 1.0 / 3;
 // How long a worker takes to turn to another controller: its timeout, a pause and a report.
@@ -205,6 +207,14 @@
     return c;
 }
 
+std::vector<wire::PeerCount> Leader::all_counts() {
+    std::vector<wire::PeerCount> out;
+    if (!loaded_) return out;
+    for (auto& [id, e] : table_.all())
+        if (auto c = counts(id)) out.push_back({id, c->done, c->running});
+    return out;
+}
+
 bool Leader::all_settled() const {
     return std::all_of(picture_.machines().begin(), picture_.machines().end(),
                        [](auto& m) { return m.second.settled || !m.second.stored; });
@@ -413,41 +423,68 @@
     }
     if (!commands.empty()) send_direct(m, std::move(commands));
 }
-// Asks for a report, and makes the worker take this leader's token.
+// Asks for a report, and makes the worker take this leader's token. Only some at a time: a takeover asks
+// hundreds, which must fit into the sockets and the processor's share.
 void Leader::probe(Machine& m) {
     if (m.addr.empty()) return;
     m.last_probe = now();
-    ++m.probes;
-    send_direct(m, {});
+    if (m.probing) return;
+    m.probing = true;
+    to_probe_.push_back(m.id);
+    send_probes();
+}
+void Leader::send_probes() {
+    auto most = static_cast<std::size_t>(std::max(1.0, c_.settings.sockets * probe_sockets));
+    while (probing_ < most && !to_probe_.empty()) {
+        auto id = std::move(to_probe_.front());
+        to_probe_.pop_front();
+        auto* m = picture_.find(id);
+        if (!m) continue;
+        m->last_probe = now();
+        ++probing_;
+        send_direct(*m, {});
+    }
 }
 void Leader::send_direct(Machine& m, std::vector<wire::Command> commands) {
     auto token = m.token;
     std::string id = m.id;
-    auto body = wire::direct_commands(token, m.session, commands);
-    c_.http.send(m.addr, {"POST", std::string(wire::paths::commands), body}, c_.settings.report_s * 0.7,
-                 guarded([this, id, token, commands](std::optional<http::Response> r) {
-                     bool executed = r && r->status == 200,
-                          refused = r && (r->status == 409 || r->status == 400);
-                     bool first_session = false;
-                     if (executed || refused) try {
-                             auto report = wire::parse_report(r->body);
-                             auto* before = picture_.find(id);
-                             first_session = before && before->session < report.session;
-                             if (report.machine == id) hear(report, fleet::Via::direct);
-                         } catch (const wire::Malformed& x) {
-                             spdlog::info("machine {}: {}", id, x.what());
-                         }
-                     std::lock_guard lock(mutex_);
-                     auto* m = picture_.find(id);
-                     if (!m) return;
-                     picture_.direct_done(*m, commands, token, executed || refused);
-                     // A 409 told the session: ask again at once, so that the machine settles.
-                     if (refused && first_session && !m->settled)
-                         c_.timers.after(0, guarded([this, id] {
-                                             if (auto* again = picture_.find(id)) probe(*again);
-                                         }));
+    bool probe = commands.empty();
+    // Most workers are in their first session still: a good guess saves the question.
+    auto session = std::max<std::uint64_t>(1, m.session);
+    auto body = wire::direct_commands(token, session, commands);
+    double timeout = c_.settings.report_s * (probe ? probe_timeout_reports : direct_timeout_reports);
+    c_.http.send(m.addr, {"POST", std::string(wire::paths::commands), body}, timeout,
+                 guarded([this, id, token, commands, probe](std::optional<http::Response> r) {
+                     if (probe) {
+                         --probing_;
+                         if (auto* m = picture_.find(id)) m->probing = false;
+                     }
+                     answered(id, commands, token, r);
+                     if (probe) send_probes();
                  }));
 }
+void Leader::answered(const std::string& id, const std::vector<wire::Command>& commands, std::uint64_t token,
+                      const std::optional<http::Response>& r) {
+    bool executed = r && r->status == 200, refused = r && (r->status == 409 || r->status == 400);
+    bool first_session = false;
+    if (executed || refused) try {
+            auto report = wire::parse_report(r->body);
+            auto* before = picture_.find(id);
+            first_session = before && before->session < report.session;
+            if (report.machine == id) hear(report, fleet::Via::direct);
+        } catch (const wire::Malformed& x) {
+            spdlog::info("machine {}: {}", id, x.what());
+        }
+    std::lock_guard lock(mutex_);
+    auto* m = picture_.find(id);
+    if (!m) return;
+    picture_.direct_done(*m, commands, token, executed || refused);
+    // A 409 told the session: ask again at once, so that the machine settles.
+    if (refused && first_session && !m->settled)
+        c_.timers.after(0, guarded([this, id] {
+                            if (auto* again = picture_.find(id)) probe(*again);
+                        }));
+}
 
 void Leader::check_machines() {
     const auto& s = c_.settings;
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -19,6 +19,7 @@
 #include "jobs/table.hpp"
 #include "placement/placement.hpp"
 #include "state/election.hpp"
+#include "wire/peer.hpp"
 
 namespace coralhitch::daemon {
 
@@ -46,6 +47,7 @@
 
     void hello(wire::Report report, http::Reply reply);
     std::optional<api::TaskCounts> counts(const std::string& id);
+    std::vector<wire::PeerCount> all_counts();
     void types_changed();
     void cancelled(const std::string& id, std::uint64_t version);
     // How long after its authority has run out a leader goes on renewing workers' leases, without commands.
@@ -79,7 +81,10 @@
     void flush_all();
     void flush(fleet::Machine& m);
     void probe(fleet::Machine& m);
+    void send_probes();
     void send_direct(fleet::Machine& m, std::vector<wire::Command> commands);
+    void answered(const std::string& id, const std::vector<wire::Command>& commands, std::uint64_t token,
+                  const std::optional<http::Response>& r);
     void handle_end(const fleet::End& e);
     void handle_found(const wire::TaskId& task, const std::string& machine);
     void task_error(jobs::Entry& e, const fleet::End& end);
@@ -141,6 +146,8 @@
 
     std::deque<std::pair<wire::Report, http::Reply>> early_;  // reports that came before the jobs were loaded
     std::uint64_t attempts_ = 0, rentals_made_ = 0;
+    std::deque<std::string> to_probe_;
+    std::size_t probing_ = 0;
     std::map<std::string, Rental> rentals_;
     std::map<std::size_t, double> refused_;  // pools without capacity, until when
     std::set<std::string> keys_to_drop_;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -39,7 +39,7 @@
     ::signal(SIGPIPE, SIG_IGN);
     loop::Loop loop;
     http::ClientLimits client_limits;
-    client_limits.connections = static_cast<std::size_t>(settings.sockets * 0.3);
+    client_limits.connections = static_cast<std::size_t>(settings.sockets * 0.25);
     client_limits.response = static_cast<std::size_t>(settings.memory_mb * 1024 * 1024 / 8);
     http::Client client(loop, client_limits);
     daemon::ThreadPlanner planner(loop);
@@ -47,10 +47,10 @@
     std::uint64_t seed = (std::uint64_t{device()} << 32) ^ device();
     daemon::Controller controller(loop, client, settings, planner, seed);
     http::Server users(
-        loop, settings.listen, server_limits(settings, 0.6),
+        loop, settings.listen, server_limits(settings, 0.7),
         [&](http::Request r, http::Reply reply) { controller.serve(std::move(r), std::move(reply)); });
     http::Server peers(
-        loop, settings.peer_listen, server_limits(settings, 0.05),
+        loop, settings.peer_listen, server_limits(settings, 0.04),
         [&](http::Request r, http::Reply reply) { controller.serve_peer(std::move(r), std::move(reply)); });
     spdlog::info("{} of {}: listening on {}", settings.label, settings.zone, settings.listen);
     controller.start();
--- a/src/fleet/picture.hpp
+++ b/src/fleet/picture.hpp
@@ -57,7 +57,7 @@
     double created = 0, last_heard = 0, last_probe = -1, idle_since = 0;
     double renewed = 0;  // last moment at which a controller may have renewed the worker's lease
     double notice_until = -1;
-    int probes = 0;
+    bool probing = false;
     std::map<wire::TaskId, Instance> tasks;
     std::map<std::pair<wire::TaskId, std::uint64_t>, Ended> ended;
     std::shared_ptr<const wire::Images> images;  // replaced, never changed: plans hold on to it
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -19,8 +19,15 @@
     if (it == idle_.end() || it->second.empty()) return 0;
     auto id = it->second.back();
     it->second.pop_back();
+    idle_order_.erase(calls_.at(id).in_order);
     return id;
 }
+// Idle connections give way: with more machines than connections they would otherwise hold every place, and
+// each new request would be refused until the first of them times out.
+bool Client::make_place() {
+    if (calls_.size() >= limits_.connections && !idle_order_.empty()) drop(idle_order_.front());
+    return calls_.size() < limits_.connections;
+}
 
 void Client::send(const std::string& addr, Request request, double timeout_s, Result result) {
     std::string out = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + addr;
@@ -35,7 +42,7 @@
     if (fresh) {
         auto fail = [&] { loop_.after(0, [result = std::move(result)] { result(std::nullopt); }); };
         auto sa = socket_address(addr);
-        if (!sa || calls_.size() >= limits_.connections) return fail();
+        if (!sa || !make_place()) return fail();
         loop::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
         if (!fd) return fail();
         int on = 1;
@@ -66,6 +73,7 @@
     if (it->second.idle) {
         auto list = idle_.find(it->second.addr);
         list->second.remove(id);
+        idle_order_.erase(it->second.in_order);
         if (list->second.empty()) idle_.erase(list);
     }
     calls_.erase(it);
@@ -81,6 +89,7 @@
         c.idle = true;
         c.connection->next();
         pool.push_back(id);
+        c.in_order = idle_order_.insert(idle_order_.end(), id);
         loop_.cancel(c.timer);
         c.timer = loop_.after(limits_.idle_s, [this, id] { drop(id); });
     } else {
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -28,10 +28,12 @@
         Result result;
         loop::TimerId timer = 0;
         bool idle = false;
+        std::list<std::uint64_t>::iterator in_order;  // while idle
     };
     void on_event(std::uint64_t id, std::uint32_t events);
     void finish(std::uint64_t id, std::optional<Response> r, bool reuse);
     void drop(std::uint64_t id);
+    bool make_place();
     std::uint64_t take_idle(const std::string& addr);
 
     loop::Loop& loop_;
@@ -39,6 +41,7 @@
     std::uint64_t next_ = 1;
     std::unordered_map<std::uint64_t, Call> calls_;
     std::unordered_map<std::string, std::list<std::uint64_t>> idle_;
+    std::list<std::uint64_t> idle_order_;  // all idle connections, the one unused for longest first
 };
 
 }  // namespace coralhitch::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -131,6 +131,10 @@
     auto it = clients_.find(id);
     if (it == clients_.end() || !it->second.busy) return;
     auto& c = it->second;
+    // Nearly full: connections are closed after each answer, so that more peers than places are still served,
+    // and none is turned away.
+    if (static_cast<double>(clients_.size()) > static_cast<double>(limits_.connections) * limits_.keep_share)
+        keep_alive = false;
     std::string out = "HTTP/1.1 " + std::to_string(r.status) + " " + reason(r.status) +
                       "\r\nContent-Type: " + r.type + "\r\nContent-Length: " + std::to_string(r.body.size());
     if (r.retry_after_s > 0)
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -11,6 +11,7 @@
     std::size_t connections = 1000;
     double request_s = 10;  // a request must be complete this long after its first byte
     double idle_s = 120;
+    double keep_share = 0.9;  // above this share of the connections none is kept open
 };
 
 class Server {
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -102,7 +102,8 @@
     }
 }
 void Loop::run() {
-    std::array<epoll_event, 128> events{};
+    // Few at a time, so that timers, the lease's renewal among them, wait for little work.
+    std::array<epoll_event, 32> events{};
     while (!stopped_) {
         int wait_ms = -1;
         if (!timers_.empty()) {
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -14,6 +14,12 @@
 inline constexpr std::string_view peer_job_path = "/peer/job";
 inline constexpr std::string_view peer_cancelled_path = "/peer/cancelled";
 
+// Tasks of a live job, as the leader counts them.
+struct PeerCount {
+    std::string id;
+    std::uint64_t done = 0, running = 0;
+    MSGPACK_DEFINE(id, done, running)
+};
 struct PeerPing {
     std::string label;
     std::uint64_t incarnation = 0;
@@ -21,7 +27,8 @@
     std::string leader;
     bool state_ok = false;             // the state service answered the sender lately
     std::vector<std::string> workers;  // machines that lately reported to the sender, which does not lead
-    MSGPACK_DEFINE(label, incarnation, leader_version, leader, state_ok, workers)
+    std::vector<PeerCount> counts;     // of all live jobs, from a leader
+    MSGPACK_DEFINE(label, incarnation, leader_version, leader, state_ok, workers, counts)
 };
 // A user's request that its controller can't decide, since it does not reach the state service.
 struct PeerUserRequest {
--- a/src/wire/protocol.hpp
+++ b/src/wire/protocol.hpp
@@ -46,6 +46,7 @@
 std::string error_body(std::string_view text);
 
 // Workers
+inline constexpr double worker_patience_s = 4;  // a worker drops answers to its reports after that
 Report parse_report(std::string_view body);
 std::string report_answer(std::uint64_t token, std::span<const Command> commands);
 std::string direct_commands(std::uint64_t token, std::uint64_t session, std::span<const Command> commands);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -108,9 +108,11 @@
 }
 
 TEST(Peer, RoundTripsAndRefusesNoise) {
-    PeerPing p{"berth-1", 7, 1ull << 60, "berth-2", true, {"vm-1"}};
+    PeerPing p{"berth-1", 7, 1ull << 60, "berth-2", true, {"vm-1"}, {{"j-1", 3, 4}}};
     auto back = unpack_peer<PeerPing>(pack_peer(p));
     ASSERT_TRUE(back);
+    ASSERT_EQ(back->counts.size(), 1u);
+    EXPECT_EQ(back->counts[0].running, 4u);
     EXPECT_EQ(back->leader_version, 1ull << 60);
     EXPECT_FALSE(unpack_peer<PeerPing>("{\"label\":1}"));
     EXPECT_FALSE(unpack_peer<PeerPing>(""));
