--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 #include "state/keys.hpp"
@@ -1023,6 +1024,25 @@
 
 void Leader::apply(Plan& p) {
     if (!authority()) return;
+    std::array<std::size_t, 3> missing{};
+    for (auto& u : p.out.unplaced)
+        missing[static_cast<std::size_t>(p.in.jobs[u.job].spec->kind)] += u.count;
+    c_.metrics.plan_took(now() - last_plan_);
+    if (spdlog::should_log(spdlog::level::debug)) {
+        std::size_t usable = 0, whole = 0;
+        wire::Room free;
+        for (auto& m : p.in.machines) {
+            if (!m.usable) continue;
+            ++usable;
+            free += m.free;
+            whole += m.tasks == 0;
+        }
+        spdlog::debug(
+            "plan: {} starts, {} stops, no place for {} array, {} gang, {} service tasks; of {} machines {} "
+            "usable, {} empty, {} CPUs and {} GPUs free",
+            p.out.starts.size(), p.out.stops.size(), missing[0], missing[1], missing[2], p.in.machines.size(),
+            usable, whole, free.cpus, free.gpus);
+    }
     {
         std::lock_guard lock(mutex_);
         if (!all_settled()) return;
