--- a/src/capacity/capacity.cpp
+++ b/src/capacity/capacity.cpp
@@ -25,7 +25,8 @@
                     std::find(t.zones.begin(), t.zones.end(), in.pools[p].zone) != t.zones.end())
                     rented_type_[p] = &t;
         for (auto& m : in.machines) {
-            bins_.push_back({m.pool, m.booting ? pool(m.pool).total : m.free, &m});
+            auto& bins = dark(m.pool) ? dark_bins_ : bins_;
+            bins.push_back({m.pool, m.booting ? pool(m.pool).total : m.free, &m});
             ++per_zone_[pool(m.pool).zone_index];
         }
     }
@@ -35,8 +36,9 @@
         reserve();
         Decisions d;
         std::map<std::size_t, int> rents;
-        for (auto& b : bins_)
-            if (!b.machine) ++rents[b.pool];
+        for (auto* bins : {&bins_, &dark_bins_})
+            for (auto& b : *bins)
+                if (!b.machine) ++rents[b.pool];
         for (auto& [p, n] : rents) d.rents.push_back({p, n});
         if (d.rents.empty()) {
             drain(d);
@@ -47,7 +49,12 @@
 
   private:
     const placement::Pool& pool(std::size_t p) const { return in_.pools[p]; }
-    bool full() const { return settings_.op.max_machines > 0 && bins_.size() >= settings_.op.max_machines; }
+    bool dark(std::size_t p) const {
+        return pool(p).zone_index < in_.dark.size() && in_.dark[pool(p).zone_index];
+    }
+    bool full() const {
+        return settings_.op.max_machines > 0 && bins_.size() + dark_bins_.size() >= settings_.op.max_machines;
+    }
     double free_share(const Bin& b) const {
         auto& total = pool(b.pool).total;
         double s = 1;
@@ -69,24 +76,32 @@
         zones.resize(in_.zones);
         auto pools = pools_of(*n.job, zones);
         bool zoned = n.job->spread || n.job->one_zone;
-        std::size_t at = 0;  // bins before it have no room for another of these tasks
+        std::size_t lit_at = 0, dark_at = 0;  // bins before have no room for another of these tasks
+        auto find = [&](std::vector<Bin>& bins, std::size_t& at, bool in_dark) -> Bin* {
+            while (at < bins.size() && !(pools[bins[at].pool] && bins[at].free.holds(n.job->need))) ++at;
+            return at < bins.size() || open(*n.job, pools, in_dark) ? &bins[at] : nullptr;
+        };
         for (std::size_t k = 0; k < n.count; ++k) {
-            while (at < bins_.size() && !(pools[bins_[at].pool] && bins_[at].free.holds(n.job->need))) ++at;
-            if (at == bins_.size() && !open(*n.job, pools)) return;
-            bins_[at].free -= n.job->need;
+            // Machines of a zone from which nothing is heard may come back any time, or late: what waits is
+            // counted on them only if there is nothing else to rent.
+            auto* to = find(bins_, lit_at, false);
+            if (!to) to = find(dark_bins_, dark_at, true);
+            if (!to) return;
+            to->free -= n.job->need;
             if (!zoned) continue;
-            ++zones[pool(bins_[at].pool).zone_index];
+            ++zones[pool(to->pool).zone_index];
             pools = pools_of(*n.job, zones);
         }
     }
     // A machine to rent for the job: the cheapest per task it holds, then the zone with the fewest machines.
-    bool open(const wire::Job& job, const std::vector<bool>& pools) {
+    bool open(const wire::Job& job, const std::vector<bool>& pools, bool in_dark = false) {
         if (full()) return false;
         std::optional<std::size_t> best;
         double best_cost = 0;
         for (std::size_t p = 0; p < pools.size(); ++p) {
             auto* t = rented_type_[p];
-            if (!t || !pools[p] || !t->room.holds(job.need) || in_.refused.contains(p)) continue;
+            if (!t || !pools[p] || dark(p) != in_dark || !t->room.holds(job.need) || in_.refused.contains(p))
+                continue;
             double holds = t->room.gpus > 0 && job.need.gpus > 0 ? t->room.gpus / job.need.gpus : 1;
             if (job.need.cpus > 0) holds = std::min(holds, t->room.cpus / job.need.cpus);
             double cost = (pool(p).spot ? t->spot_price : t->price) / std::max(1.0, std::floor(holds));
@@ -99,7 +114,7 @@
         }
         if (!best) return false;
         ++per_zone_[pool(*best).zone_index];
-        bins_.push_back({*best, rented_type_[*best]->room, nullptr});
+        (in_dark ? dark_bins_ : bins_).push_back({*best, rented_type_[*best]->room, nullptr});
         return true;
     }
     // Free room, in whole machines, and what it should be.
@@ -170,7 +185,7 @@
 
     const Input& in_;
     const config::Settings& settings_;
-    std::vector<Bin> bins_;
+    std::vector<Bin> bins_, dark_bins_;
     double spare_ = 0;
     std::vector<int> per_zone_;
     std::vector<const wire::MachineType*> rented_type_;  // by pool; null: can't be rented
--- a/src/capacity/capacity.hpp
+++ b/src/capacity/capacity.hpp
@@ -32,6 +32,7 @@
     std::vector<MachineView> machines;
     std::vector<Need> needs;
     std::set<std::size_t> refused;  // pools lately without capacity
+    std::vector<bool> dark;         // zones from which nothing is heard
 };
 struct Rent {
     std::size_t pool = 0;
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -34,6 +34,7 @@
 constexpr double refused_reports = 10;
 constexpr double sick_reports = 20;
 constexpr double overdue_boots = 3;
+constexpr double dark_reports = 2, dark_leases = 4;
 constexpr std::size_t tasks_per_plan = 64;
 }  // namespace
 
@@ -121,6 +122,7 @@
                                r.condemned ? Machine::Life::condemned : Machine::Life::up, now());
         m.stored = true;
         m.deletable = r.condemned;
+        heard_from(zone_of(m));
         // The leader before may have gone on renewing leases for a while.
         m.renewed = now() + keep_alive_;
     }
@@ -260,6 +262,7 @@
         for (auto& [task, machine] : heard.found) handle_found(task, machine);
         if (auto* m = picture_.find(r.machine); m && heard.fresh) {
             store_machine(*m);
+            heard_from(zone_of(*m));
             if (m->notice_until >= 0) heed_notice(*m);
         }
     }
@@ -487,6 +490,18 @@
                         }));
 }
 
+void Leader::heard_from(std::size_t zone) {
+    if (zone_heard_.size() <= zone) zone_heard_.resize(zone + 1, -1);
+    zone_heard_[zone] = now();
+}
+// Nothing is heard from a zone where machines were up: it is cut off, rather than its machines all dead. For
+// a bounded time, since a zone of few machines may really lose them all.
+bool Leader::dark(std::size_t zone) const {
+    if (zone >= zone_heard_.size() || zone_heard_[zone] < 0) return false;
+    double silent = now() - zone_heard_[zone];
+    return silent > c_.settings.report_s * dark_reports && silent < c_.settings.lease_s * dark_leases;
+}
+
 void Leader::check_machines() {
     const auto& s = c_.settings;
     double t = now();
@@ -539,7 +554,8 @@
         double boot = 0;
         for (auto& type : c_.types)
             if (type.name == m.type) boot = type.boot_s;
-        if (fence && boot > 0 && t - m.created > boot * overdue_boots) {
+        // In a zone that is cut off it may be up, and is needed as soon as the cut ends.
+        if (fence && boot > 0 && t - m.created > boot * overdue_boots && !dark(zone_of(m))) {
             std::lock_guard lock(mutex_);
             condemn(m, "does not come up");
         }
@@ -929,6 +945,7 @@
     in.types = c_.types;
     in.pools = picture_.pools();
     in.zones = picture_.zones();
+    for (std::size_t z = 0; z < in.zones; ++z) in.dark.push_back(dark(z));
     for (auto& [name, r] : rentals_)
         for (int k = 0; k < r.count; ++k) {
             capacity::MachineView v;
@@ -1025,8 +1042,7 @@
 void Leader::apply(Plan& p) {
     if (!authority()) return;
     std::array<std::size_t, 3> missing{};
-    for (auto& u : p.out.unplaced)
-        missing[static_cast<std::size_t>(p.in.jobs[u.job].spec->kind)] += u.count;
+    for (auto& u : p.out.unplaced) missing[static_cast<std::size_t>(p.in.jobs[u.job].spec->kind)] += u.count;
     c_.metrics.plan_took(now() - last_plan_);
     if (spdlog::should_log(spdlog::level::debug)) {
         std::size_t usable = 0, whole = 0;
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -91,6 +91,8 @@
     void stop_active(const std::string& id, jobs::Entry& e, double grace_s);
     void check_machine(fleet::Machine& m, bool fence, double wait);
     void check_machines();
+    void heard_from(std::size_t zone);
+    bool dark(std::size_t zone) const;
     void condemn(fleet::Machine& m, const char* why);
     void settled_check();
     void store_machine(fleet::Machine& m);
@@ -156,7 +158,8 @@
     bool planning_ = false, plan_wanted_ = false;
     double last_plan_ = -1, last_capacity_ = -1, last_list_ = -1, remove_retry_ = 0;
     bool listed_once_ = false;
-    std::deque<double> fenced_;  // when machines were fenced for silence
+    std::vector<double> zone_heard_;  // by zone: when a machine there was last heard, or known to be up
+    std::deque<double> fenced_;       // when machines were fenced for silence
     loop::TimerId tick_timer_ = 0;
 };
 
--- a/src/fleet/picture.cpp
+++ b/src/fleet/picture.cpp
@@ -23,22 +23,27 @@
     set_types(types);
 }
 void Picture::set_types(const std::vector<wire::MachineType>& types) {
-    for (auto& t : types) rooms_[t.name] = t.room;
-    for (auto& p : pools_)
-        if (auto it = rooms_.find(p.type); it != rooms_.end()) p.total = it->second;
+    for (auto& t : types) types_[t.name] = t;
+    for (auto& p : pools_) know_type(p);
     for (auto& t : types)
         for (auto& z : t.zones)
             for (bool spot : {false, true}) pool_of(t.name, z, spot);
     for (auto& [id, m] : machines_) m.total = pools_[m.pool].total;
 }
+void Picture::know_type(wire::Pool& p) const {
+    auto it = types_.find(p.type);
+    if (it == types_.end()) return;
+    p.total = it->second.room;
+    p.fetch_gb_per_s = it->second.fetch_gb_per_s;
+}
 std::size_t Picture::pool_of(const std::string& type, const std::string& zone, bool spot) {
     for (std::size_t p = 0; p < pools_.size(); ++p)
         if (pools_[p].spot == spot && pools_[p].zone == zone && pools_[p].type == type) return p;
     auto z = std::find(zones_.begin(), zones_.end(), zone);
     auto index = static_cast<std::size_t>(z - zones_.begin());
     if (z == zones_.end()) zones_.push_back(zone);
-    auto room = rooms_.find(type);
-    pools_.push_back({type, zone, spot, index, room == rooms_.end() ? wire::Room{} : room->second});
+    pools_.push_back({type, zone, spot, index, {}, 0});
+    know_type(pools_.back());
     return pools_.size() - 1;
 }
 std::uint32_t Picture::image(const std::string& name) {
--- a/src/fleet/picture.hpp
+++ b/src/fleet/picture.hpp
@@ -139,12 +139,13 @@
     void flush_later(Machine& m);
 
   private:
+    void know_type(wire::Pool& p) const;
     std::size_t pool_of(const std::string& type, const std::string& zone, bool spot);
     void has_image(Machine& m, const std::string& image);
     std::vector<End> vanish_all(Machine& m);
     void fence_unsure(Machine& m);
     std::uint64_t base_;
-    std::map<std::string, wire::Room> rooms_;
+    std::map<std::string, wire::MachineType> types_;
     std::vector<wire::Pool> pools_;
     std::vector<std::string> zones_;
     std::map<std::string, std::uint32_t> images_;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -414,6 +414,13 @@
         return lost + spec.save_s + std::max(0.0, settings_.report_s * 10 - start);
     }
 
+    // How long a task of the job fetches its image there.
+    double fetch_s(const JobView& j, std::size_t m) const {
+        double rate = in_.pools[in_.machines[m].pool].fetch_gb_per_s;
+        return rate > 0 && !has_image(j, m) ? j.spec->image_gb / rate : 0;
+    }
+
+    static constexpr double emptied = -1;
     struct Choice {
         std::vector<std::size_t> victims;
         double cost = std::numeric_limits<double>::max();
@@ -424,8 +431,10 @@
         Room room = in_.machines[m].soon;
         room -= in_.machines[m].reserved;
         Choice c;
-        c.cost = 0;
+        // A place that is being emptied already always goes first: otherwise each plan would stop others.
+        c.cost = has_image(in_.jobs[j], m) ? emptied : emptied / 2;
         if (room.holds(spec.need)) return c;
+        c.cost = fetch_s(in_.jobs[j], m);
         if (lowest_rank_[m] >= rank(j)) return std::nullopt;
         std::vector<std::size_t> candidates;
         Room most = room;
@@ -480,7 +489,7 @@
         std::optional<std::size_t> best;
         Choice cheapest;
         each_machine(in_.jobs[j], pools, [&](auto m) {
-            if (cheapest.cost <= 0) return;
+            if (cheapest.cost <= emptied) return;
             auto c = victims_on(j, m);
             if (!c || c->cost >= cheapest.cost) return;
             cheapest = std::move(*c);
--- a/src/wire/model.hpp
+++ b/src/wire/model.hpp
@@ -101,6 +101,7 @@
     bool spot = false;
     std::size_t zone_index = 0;
     Room total;
+    double fetch_gb_per_s = 0;  // 0: not known
 };
 using Images = std::vector<std::uint32_t>;  // sorted; a number for each image's name
 
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -16,10 +16,10 @@
     s.teams = {{"a", 0, 0, 4, 8}, {"b", 0, 0, 4, 0}, {"free", 0, 0, 0, 0}};
     return s;
 }
-const std::vector<Pool> pools{{"g4", "z1", false, 0, {16, 4, 64}},
-                              {"g4", "z2", false, 1, {16, 4, 64}},
-                              {"g4", "z1", true, 0, {16, 4, 64}},
-                              {"g4", "z2", true, 1, {16, 4, 64}}};
+const std::vector<Pool> pools{{"g4", "z1", false, 0, {16, 4, 64}, 0.2},
+                              {"g4", "z2", false, 1, {16, 4, 64}, 0.2},
+                              {"g4", "z1", true, 0, {16, 4, 64}, 0.2},
+                              {"g4", "z2", true, 1, {16, 4, 64}, 0.2}};
 MachineView machine(const std::string& id, std::size_t pool = 0) {
     MachineView m;
     m.id = id;
@@ -192,6 +192,36 @@
     }
 }
 // A gang that can't be given all its places keeps none, and what was to be stopped for it goes on.
+// After a wave of losses most machines lack most images: a place is emptied where the task can run at once,
+// but none is emptied while another one is on its way.
+TEST(Plan, RoomIsMadeWhereTheImageIs) {
+    struct Case {
+        bool emptying;  // the machine without the image is being emptied already
+        std::size_t stops;
+    };
+    for (auto c : {Case{false, 1}, Case{true, 0}}) {
+        Input in;
+        in.now = 1000;
+        in.machines = {machine("m0"), machine("m1")};
+        in.machines[1].images = std::make_shared<const Images>(Images{7});
+        in.jobs.push_back(job("j-1", Kind::array, 1, 4));
+        in.jobs[0].image = 7;
+        edit(in.jobs[0]).image_gb = 6;
+        edit(in.jobs[0]).priority = Priority::high;
+        in.jobs.push_back(job("j-2", Kind::array, 2, 4));
+        in.jobs[1].waiting.clear();
+        edit(in.jobs[1]).priority = Priority::low;
+        for (std::uint32_t k = 0; k < 2; ++k) {
+            in.machines[k].free = {15, 0, 63};
+            in.instances.push_back({1, k, k, k == 0 && c.emptying, 100, 110.0 + k});
+        }
+        auto d = run(in);
+        ASSERT_EQ(d.stops.size(), c.stops);
+        if (c.stops > 0) {
+            EXPECT_EQ(in.instances[d.stops[0].instance].machine, 1u);
+        }
+    }
+}
 TEST(Plan, RoomIsMadeForAWholeGangOrNotAtAll) {
     for (auto [low, stops] : {std::pair(2, 2u), {1, 0u}}) {
         Input in;
@@ -324,5 +354,33 @@
     for (auto& r : capacity::plan(in, s).rents) EXPECT_EQ(r.pool, 1u);
 }
 
+// Machines rented into a zone that is cut off are of no use until the cut ends, and those that boot there
+// must not stand for what others could do now.
+TEST(Capacity, CountsOnZonesThatAreCutOffLast) {
+    auto s = settings();
+    s.teams = {{"free", 0, 0, 0, 0}};
+    s.op.reserve_ratio = 0;
+    struct Case {
+        std::set<std::size_t> refused;
+        int booting_dark;
+        std::set<std::size_t> rents;
+    };
+    const Case cases[] = {{{}, 0, {1}}, {{}, 4, {1}}, {{1}, 0, {0}}, {{1}, 4, {}}};
+    for (auto& c : cases) {
+        capacity::Input in;
+        in.types = {{"g4", {16, 4, 64}, 100, 1, 10, 4, 30, {"z1", "z2"}}};
+        in.pools = pools;
+        in.zones = 2;
+        in.dark = {true, false};
+        in.refused = c.refused;
+        auto waiting = job("j-1", Kind::array, 8, 1);
+        in.needs.push_back({waiting.spec.get(), 8, {}});
+        for (int i = 0; i < c.booting_dark; ++i) in.machines.push_back({"b", 0, true, {}});
+        std::set<std::size_t> rents;
+        for (auto& r : capacity::plan(in, s).rents) rents.insert(r.pool);
+        EXPECT_EQ(rents, c.rents) << c.booting_dark;
+    }
+}
+
 }  // namespace
 }  // namespace coralhitch::placement
