--- a/src/capacity/capacity.cpp
+++ b/src/capacity/capacity.cpp
@@ -168,14 +168,17 @@
         double left = surplus();
         std::vector<const Bin*> idle;
         for (auto& b : bins_) {
-            if (!b.machine || b.machine->booting || !b.machine->empty) continue;
+            // A machine that is slow to boot is given back like an idle one: some take several times as long.
+            if (!b.machine || !b.machine->empty) continue;
             auto* type = rented_type_[b.pool];
             double boot = type ? type->boot_s : 0;
             bool untouched = free_share(b) > 1 - 1e-9;  // nothing that waits was packed onto it
             if (untouched && b.machine->idle_for > boot * settings_.op.idle_boots) idle.push_back(&b);
         }
-        std::sort(idle.begin(), idle.end(),
-                  [](auto* a, auto* b) { return a->machine->idle_for > b->machine->idle_for; });
+        std::sort(idle.begin(), idle.end(), [](auto* a, auto* b) {
+            return std::pair(a->machine->booting, a->machine->idle_for) >
+                   std::pair(b->machine->booting, b->machine->idle_for);
+        });
         for (auto* b : idle) {
             if (left < 1) return;
             d.returns.push_back(b->machine->id);
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -931,6 +931,7 @@
         for (auto& [task, i] : m.tasks) {
             auto it = job_index.find(i.spec.get());
             if (it == job_index.end()) continue;
+            if (i.spec->kind == Kind::service) ++v.services;
             in.instances.push_back({it->second, in.machines.size(), task.index,
                                     i.stop || i.state == wire::TaskState::saving, i.placed, i.running_since});
         }
@@ -974,9 +975,8 @@
         c.empty = m->tasks.empty() && v.tasks == 0;
         c.draining = v.draining;
         c.tasks = v.tasks;
-        for (auto& [task, i] : m->tasks)
-            if (i.spec && i.spec->kind == Kind::service) ++c.services;
-        c.idle_for = now() - m->idle_since;
+        c.services = v.services;
+        c.idle_for = now() - (booting ? m->created : m->idle_since);
         in.machines.push_back(std::move(c));
     }
     for (auto& u : p.out.unplaced) {
@@ -1075,7 +1075,8 @@
             for (auto& [id, m] : picture_.machines()) m.draining = p.capacity.drains.contains(id);
         for (auto& id : p.capacity.returns) {
             auto* m = picture_.find(id);
-            if (m && m->tasks.empty() && m->settled) condemn(*m, "is idle");
+            if (m && m->tasks.empty() && (m->settled || m->life == Machine::Life::booting))
+                condemn(*m, "is surplus");
         }
     }
     flush_all();
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -204,6 +204,7 @@
         v.free -= job.spec->need;
         v.soon -= job.spec->need;
         ++v.tasks;
+        if (job.spec->kind == Kind::service) ++v.services;
         if (!has_image(job, m)) v.coming.push_back(job.image);
         ++job.zones[zone(m)];
         ++job.active;
@@ -231,12 +232,16 @@
                std::find(v.coming.begin(), v.coming.end(), j.image) != v.coming.end();
     }
     // The draws are made from the first of these sets that has a machine with room: those that have the
-    // image and keep whole room whole, those that have the image, those that keep whole room whole, others.
-    // Surplus machines come last.
+    // image and are fitting, those that have the image, those that are fitting, others. Surplus machines come
+    // last. Fitting for a task that ends are those whose room for whole-machine tasks it leaves whole; for a
+    // replica, which stays, those that hold one already: spread over all machines, replicas kept each of them
+    // from being returned.
     static constexpr std::size_t tiers = 5;
     std::size_t tier(const JobView& j, std::size_t m) const {
-        if (in_.machines[m].draining) return tiers - 1;
-        return (has_image(j, m) ? 0 : 2) + (breaks_up(*j.spec, m) ? 1 : 0);
+        auto& v = in_.machines[m];
+        if (v.draining) return tiers - 1;
+        bool fitting = j.spec->kind == Kind::service ? v.services > 0 : !breaks_up(*j.spec, m);
+        return (has_image(j, m) ? 0 : 2) + (fitting ? 0 : 1);
     }
 
     void singles(std::size_t j) {
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -26,7 +26,7 @@
     bool usable = false;
     bool draining = false;  // surplus: used only if there is no room elsewhere
     wire::Room free;
-    int tasks = 0;
+    int tasks = 0, services = 0;           // services: those of `tasks` that run until they are cancelled
     std::shared_ptr<const Images> images;  // null: none
     std::vector<std::uint32_t> coming;     // images of what this plan starts there
     wire::Room soon;                       // free, and what is being stopped
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -240,6 +240,23 @@
         EXPECT_EQ(in.machines[0].reserved.gpus, stops ? 4 : 0);
     }
 }
+// Replicas stay; spread over all machines, they kept a shrinking fleet from being returned.
+TEST(Plan, ReplicasGoWhereReplicasAreAndTasksThatEndDoNotCare) {
+    for (auto [kind, there] : {std::pair(Kind::service, 3u), {Kind::array, 0u}}) {
+        Input in;
+        in.machines = {machine("m0"), machine("m1"), machine("m2")};
+        in.machines[2].free = {15, 3, 63};
+        in.machines[2].tasks = in.machines[2].services = 1;
+        in.jobs.push_back(job("j-1", kind, 3, 1));
+        std::size_t on = 0;
+        for (auto& s : run(in).starts) on += s.machine == 2;
+        if (there > 0) {
+            EXPECT_EQ(on, there);
+        } else {
+            EXPECT_LT(on, 3u);
+        }
+    }
+}
 TEST(Plan, SmallTasksLeaveWholeRoomToThoseThatNeedIt) {
     Input in;
     in.machines = {machine("m0"), machine("m1"), machine("m2")};
@@ -331,8 +348,10 @@
     EXPECT_EQ(capacity::plan(in, s).returns.size(), 4u);
     in.machines[0].free = {8, 2, 32};
     in.machines[0].empty = false;
+    in.machines[3].booting = true;  // the first to go: it serves nobody yet
     auto d = capacity::plan(in, s);
     EXPECT_EQ(d.returns.size(), 2u);
+    EXPECT_EQ(std::count(d.returns.begin(), d.returns.end(), "u3"), 1);
     EXPECT_FALSE(std::count(d.returns.begin(), d.returns.end(), "u0"));
 }
 TEST(Capacity, PassesRefusedPoolsOverAndPrefersWhatIsCheapest) {
