Draws go by how near the image is: there, coming, cold, cold with other fetches under way

Cause: with free room, starts within 30 s fail where the image is fetched for 25 s or more, twice as long where two fetches share the rate.

--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -932,6 +932,11 @@
             auto it = job_index.find(i.spec.get());
             if (it == job_index.end()) continue;
             if (i.spec->kind == Kind::service) ++v.services;
+            if (i.state == wire::TaskState::fetching && !i.stop) {
+                auto image = in.jobs[it->second].image;
+                bool there = m.images && std::binary_search(m.images->begin(), m.images->end(), image);
+                if (!there) v.coming.push_back(image);
+            }
             in.instances.push_back({it->second, in.machines.size(), task.index,
                                     i.stop || i.state == wire::TaskState::saving, i.placed, i.running_since});
         }
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -205,7 +205,7 @@
         v.soon -= job.spec->need;
         ++v.tasks;
         if (job.spec->kind == Kind::service) ++v.services;
-        if (!has_image(job, m)) v.coming.push_back(job.image);
+        if (near(job, m) > Near::coming) v.coming.push_back(job.image);
         ++job.zones[zone(m)];
         ++job.active;
         in_.team_used[job.spec->team] += job.spec->need;
@@ -227,21 +227,28 @@
     }
 
     bool has_image(const JobView& j, std::size_t m) const {
-        auto& v = in_.machines[m];
-        return (v.images && std::binary_search(v.images->begin(), v.images->end(), j.image)) ||
-               std::find(v.coming.begin(), v.coming.end(), j.image) != v.coming.end();
-    }
-    // The draws are made from the first of these sets that has a machine with room: those that have the
-    // image and are fitting, those that have the image, those that are fitting, others. Surplus machines come
-    // last. Fitting for a task that ends are those whose room for whole-machine tasks it leaves whole; for a
-    // replica, which stays, those that hold one already: spread over all machines, replicas kept each of them
-    // from being returned.
-    static constexpr std::size_t tiers = 5;
+        auto& images = in_.machines[m].images;
+        return images && std::binary_search(images->begin(), images->end(), j.image);
+    }
+    // How far a machine is from having the job's image: there, on its way, not there, and not there while
+    // others are on their way, which share the rate.
+    enum class Near { there, coming, cold, busy };
+    Near near(const JobView& j, std::size_t m) const {
+        if (has_image(j, m)) return Near::there;
+        auto& coming = in_.machines[m].coming;
+        if (coming.empty()) return Near::cold;
+        return std::find(coming.begin(), coming.end(), j.image) == coming.end() ? Near::busy : Near::coming;
+    }
+    // The draws are made from the first of these sets that has a machine with room: by how near the image is,
+    // and those that are fitting first. Surplus machines come last. Fitting for a task that ends are those
+    // whose room for whole-machine tasks it leaves whole; for a replica, which stays, those that hold one
+    // already: spread over all machines, replicas kept each of them from being returned.
+    static constexpr std::size_t tiers = 9;
     std::size_t tier(const JobView& j, std::size_t m) const {
         auto& v = in_.machines[m];
         if (v.draining) return tiers - 1;
         bool fitting = j.spec->kind == Kind::service ? v.services > 0 : !breaks_up(*j.spec, m);
-        return (has_image(j, m) ? 0 : 2) + (fitting ? 0 : 1);
+        return 2 * static_cast<std::size_t>(near(j, m)) + (fitting ? 0 : 1);
     }
 
     void singles(std::size_t j) {
@@ -347,10 +354,10 @@
         ++out_.counts.packed;
         return pull(*from, at);
     }
-    // How empty a machine is, for a task that goes to the fullest. Equally full: one that has the image need
-    // not fetch it.
+    // How empty a machine is, for a task that goes to the fullest. Equally full: the one that is nearest to
+    // having the image.
     double left_on(const JobView& job, std::size_t m) const {
-        return share(open_room(in_.machines[m]), total(m)) + (has_image(job, m) ? 0 : 1e-3);
+        return share(open_room(in_.machines[m]), total(m)) + 1e-3 * static_cast<double>(near(job, m));
     }
 
     void gang(std::size_t j) {
@@ -422,7 +429,7 @@
     // How long a task of the job fetches its image there.
     double fetch_s(const JobView& j, std::size_t m) const {
         double rate = in_.pools[in_.machines[m].pool].fetch_gb_per_s;
-        return rate > 0 && !has_image(j, m) ? j.spec->image_gb / rate : 0;
+        return rate > 0 && near(j, m) > Near::coming ? j.spec->image_gb / rate : 0;
     }
 
     static constexpr double emptied = -1;
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -28,7 +28,7 @@
     wire::Room free;
     int tasks = 0, services = 0;           // services: those of `tasks` that run until they are cancelled
     std::shared_ptr<const Images> images;  // null: none
-    std::vector<std::uint32_t> coming;     // images of what this plan starts there
+    std::vector<std::uint32_t> coming;     // images that it fetches, this plan's starts included
     wire::Room soon;                       // free, and what is being stopped
     wire::Room reserved;                   // of `soon`, kept for tasks that wait for places being emptied
 };
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -240,6 +240,27 @@
         EXPECT_EQ(in.machines[0].reserved.gpus, stops ? 4 : 0);
     }
 }
+// A fetch takes most of the time allowed for a start, and fetches share the rate.
+TEST(Plan, DrawsFromTheMachinesNearestToHavingTheImage) {
+    const Images other{3}, same{7};
+    auto having = [](MachineView m, const Images& images, const Images& coming) {
+        m.images = std::make_shared<const Images>(images);
+        m.coming = coming;
+        return m;
+    };
+    const std::vector<MachineView> nearest{
+        having(machine("there"), same, {}), having(machine("coming"), {}, same),
+        having(machine("cold"), other, {}), having(machine("busy"), {}, other)};
+    for (std::size_t first = 0; first < nearest.size(); ++first) {
+        Input in;
+        for (std::size_t k = nearest.size(); k-- > first;) in.machines.push_back(nearest[k]);
+        in.jobs.push_back(job("j-1", Kind::array, 1, 1));
+        in.jobs[0].image = 7;
+        auto d = run(in);
+        ASSERT_EQ(d.starts.size(), 1u);
+        EXPECT_EQ(in.machines[d.starts[0].machine].id, nearest[first].id);
+    }
+}
 // Replicas stay; spread over all machines, they kept a shrinking fleet from being returned.
 TEST(Plan, ReplicasGoWhereReplicasAreAndTasksThatEndDoNotCare) {
     for (auto [kind, there] : {std::pair(Kind::service, 3u), {Kind::array, 0u}}) {
