--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -46,7 +46,8 @@
     return s;
 }
 
-constexpr double whole_machine = 0.5;  // a task that takes more than this share of a machine is packed
+constexpr double whole_machine = 0.5;   // a task that takes more than this share of a machine is packed
+constexpr double small_replica = 0.25;  // replicas that take at most this share go together
 
 class Planner {
   public:
@@ -242,12 +243,14 @@
     // The draws are made from the first of these sets that has a machine with room: by how near the image is,
     // and those that are fitting first. Surplus machines come last. Fitting for a task that ends are those
     // whose room for whole-machine tasks it leaves whole; for a replica, which stays, those that hold one
-    // already: spread over all machines, replicas kept each of them from being returned.
+    // already: spread over all machines, replicas kept each of them from being returned. Not where a machine
+    // holds only a few: little is gained there, and a machine that dies takes more of them at once.
     static constexpr std::size_t tiers = 9;
     std::size_t tier(const JobView& j, std::size_t m) const {
         auto& v = in_.machines[m];
         if (v.draining) return tiers - 1;
-        bool fitting = j.spec->kind == Kind::service ? v.services > 0 : !breaks_up(*j.spec, m);
+        bool stays = j.spec->kind == Kind::service && share(j.spec->need, total(m)) <= small_replica;
+        bool fitting = stays ? v.services > 0 : !breaks_up(*j.spec, m);
         return 2 * static_cast<std::size_t>(near(j, m)) + (fitting ? 0 : 1);
     }
 
