--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -124,10 +124,14 @@
             guaranteed_[j] = (team.cpus > 0 || team.gpus > 0) && cpus && gpus;
         }
     }
-    // A total order of who may displace whom: guaranteed work first, then priority. Without cycles, so that
-    // two jobs can't displace each other in turn.
+    // A total order of who may displace whom: production, then guaranteed work, then priority. Without
+    // cycles, so that two jobs can't displace each other in turn. Production goes before guarantees: after a
+    // zone was lost, replicas that are beyond their team's guarantee found everything else within one, and
+    // stayed down.
     int rank(std::size_t j) const {
-        return (guaranteed_[j] ? 4 : 0) + static_cast<int>(in_.jobs[j].spec->priority);
+        auto priority = in_.jobs[j].spec->priority;
+        bool first = guaranteed_[j] || priority == Priority::production;
+        return (first ? 4 : 0) + static_cast<int>(priority);
     }
     bool may_displace(std::size_t j, std::size_t victim) const {
         if (j == victim || rank(j) <= rank(victim)) return false;
