--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -267,7 +267,10 @@
         }
     }
     if (heard.deposed) {
-        spdlog::debug("leader: machine {} has seen the token of a later leader", r.machine);
+        spdlog::info("leader: machine {} has seen the token of a later leader", r.machine);
+        // Not from within what the worker's message set off: this object would be gone before it is done.
+        auto version = r.token >> fleet::Picture::token_bits;
+        c_.timers.after(0, guarded([this, version] { c_.election.deposed(version); }));
         return heard;
     }
     settled_check();
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <numeric>
 
 namespace coralhitch::placement {
 using wire::Kind;
@@ -383,11 +384,19 @@
                 groups.push_back(std::move(only));
             }
             std::shuffle(groups.begin(), groups.end(), random_);
+            // A gang starts when the last of its tasks has the image: the zone where it is nearest goes
+            // first.
+            std::map<const PoolSet*, std::pair<std::size_t, std::size_t>> far;
+            for (auto& g : groups) far[&g] = distance(job, g);
+            std::vector<const PoolSet*> order;
+            for (auto& g : groups) order.push_back(&g);
+            std::stable_sort(order.begin(), order.end(), [&](auto* a, auto* b) { return far[a] < far[b]; });
+            for (auto* g : order)
+                if (far[g].first < unreachable && place_all(j, *g)) return;
         } else {
             groups.push_back(pools);
+            if (!known_full(spec.need, pools) && place_all(j, pools)) return;
         }
-        for (auto& g : groups)
-            if (!known_full(spec.need, g) && place_all(j, g)) return;
         out_.unplaced.push_back({j, job.waiting.size()});
         if (job.waiting.size() == 1) {
             make_room(j, pools);
@@ -396,6 +405,24 @@
         for (auto& g : groups)
             if (make_room_for_all(j, g)) return;
     }
+    // How near the image is to the places that a gang would take: the worst of them, and all together.
+    static constexpr std::size_t unreachable = 9;
+    std::pair<std::size_t, std::size_t> distance(const JobView& job, const PoolSet& pools) {
+        auto& spec = *job.spec;
+        auto most = job.waiting.size();
+        std::vector<std::size_t> far;
+        if (known_full(spec.need, pools)) return {unreachable, 0};
+        for (auto m : with_room(job, pools)) {
+            auto room = open_room(in_.machines[m]);
+            for (std::size_t k = 0; k < most && room.holds(spec.need); ++k, room -= spec.need)
+                far.push_back(static_cast<std::size_t>(near(job, m)));
+        }
+        if (far.empty()) note_full(job, pools);
+        if (far.size() < most) return {unreachable, 0};
+        std::sort(far.begin(), far.end());
+        return {far[most - 1], std::accumulate(far.begin(), far.begin() + static_cast<std::ptrdiff_t>(most),
+                                               std::size_t{0})};
+    }
     // All tasks or none.
     bool place_all(std::size_t j, const PoolSet& pools) {
         auto& job = in_.jobs[j];
--- a/src/state/election.cpp
+++ b/src/state/election.cpp
@@ -186,6 +186,10 @@
     }
 }
 
+void Election::deposed(std::uint64_t version) {
+    if (role_ == Role::leading && version > version_) lose();
+}
+
 void Election::resign(double pause_s) {
     if (role_ != Role::leading) return;
     paused_until_ = timers_.now() + pause_s;
--- a/src/state/election.hpp
+++ b/src/state/election.hpp
@@ -30,6 +30,7 @@
 
     // Gives leadership up and stays out of elections for a while.
     void resign(double pause_s);
+    void deposed(std::uint64_t version);  // proof of a later leadership, by its version
 
   private:
     enum class Role { following, campaigning, leading };
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -136,6 +136,18 @@
     b.election.peer_says("berth-2", 8);
     EXPECT_EQ(b.election.leader(), "berth-2");
 }
+// A leader cut off from the state service hears of its successor from the workers: it stops heeding them.
+TEST(Election, StepsDownOnProofOfALaterLeadership) {
+    for (auto [ahead, lost] : {std::pair(0, 0), {1, 1}}) {
+        Bench b;
+        b.start();
+        b.timers.run_until(1);
+        b.service.refuse = true;
+        b.election.deposed(b.election.version() + static_cast<std::uint64_t>(ahead));
+        EXPECT_EQ(b.lost, lost);
+        EXPECT_EQ(b.election.holding(), lost == 0);
+    }
+}
 TEST(Election, EndsTheLeaseOfItsOwnEarlierProcess) {
     Bench b;
     b.held_by("berth-0");
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -262,6 +262,22 @@
         EXPECT_EQ(in.machines[d.starts[0].machine].id, nearest[first].id);
     }
 }
+TEST(Plan, AGangGoesToTheZoneWhereItsImageIs) {
+    for (std::size_t with : {0u, 1u}) {
+        Input in;
+        for (std::size_t k = 0; k < 8; ++k) {
+            in.machines.push_back(machine("m" + std::to_string(k), k % 2));
+            // The other zone has it on fewer machines than the gang needs.
+            if (k % 2 == with || k < 4) in.machines[k].images = std::make_shared<const Images>(Images{7});
+        }
+        in.jobs.push_back(job("j-1", Kind::gang, 4, 4));
+        edit(in.jobs[0]).one_zone = true;
+        in.jobs[0].image = 7;
+        auto d = run(in);
+        ASSERT_EQ(d.starts.size(), 4u);
+        for (auto& s : d.starts) EXPECT_EQ(in.machines[s.machine].pool, with);
+    }
+}
 // Replicas stay; spread over all machines, they kept a shrinking fleet from being returned.
 TEST(Plan, SmallReplicasGoWhereReplicasAreOtherTasksDoNotCare) {
     for (auto [kind, gpus, there] :
