--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 constexpr double probe_reports = 1.27;
+// Time for two direct commands to go unanswered.
+constexpr double unsettled_reports = 0.9;
 constexpr double probe_timeout_reports = 0.4, direct_timeout_reports = 0.7;
 constexpr double probe_sockets = 1.0 / 8;  // of all sockets
 // Above this share of silent machines the leader doubts itself first.
@@ -319,14 +321,16 @@
         if (m.life != Machine::Life::up) continue;
         ++up;
         double silent = t - m.last_heard;
-        if (silent > s.report_s * probe_reports) silent_ids.insert(id);
+        // Counted no later than it could be fenced: a new leader that is cut off from the workers must see
+        // that first.
+        if (silent > s.report_s * (m.settled ? probe_reports : unsettled_reports)) silent_ids.insert(id);
         longest = std::max(longest, silent);
     }
     std::size_t late = silent_ids.size() + fenced_.size();
     bool fence = authority();
     double wait = s.report_s * s.op.silence_reports;
     // Nothing is placed while a machine is unsettled, and one that is well answers a direct command at once.
-    double unsettled_wait = std::min(wait, s.report_s * probe_reports);
+    double unsettled_wait = std::min(wait, s.report_s * unsettled_reports);
     if (static_cast<double>(late) > static_cast<double>(up) * suspect_share) {
         // Many silent at once: this controller may be cut off from them. Workers that get no answer turn to
         // the other controllers, so these know: if they hear machines, one of them should lead; if they hear
--- a/src/daemon/leader_plans.cpp
+++ b/src/daemon/leader_plans.cpp
@@ -82,6 +82,7 @@
 placement::Input Leader::snapshot() {
     placement::Input in;
     in.now = now();
+    in.unix_now = c_.timers.unix_time();
     in.pools = picture_.pools();
     in.zones = picture_.zones();
     in.machines.reserve(picture_.machines().size());
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -47,8 +47,9 @@
     return s;
 }
 
-constexpr double whole_machine = 0.5;   // a task that takes more than this share of a machine is packed
-constexpr double small_replica = 0.25;  // replicas that take at most this share go together
+constexpr double whole_machine = 0.5;    // a task that takes more than this share of a machine is packed
+constexpr double patience_reports = 20;  // so long a job lets others whose image is at hand go first
+constexpr double small_replica = 0.25;   // replicas that take at most this share go together
 
 class Planner {
   public:
@@ -88,11 +89,11 @@
             if (x.submitted != y.submitted) return x.submitted < y.submitted;
             return x.spec->id < y.spec->id;
         });
-        for (auto j : order) {
-            if (in_.jobs[j].spec->kind == Kind::gang)
-                gang(j);
-            else
-                singles(j);
+        for (auto first = order.begin(); first != order.end();) {
+            auto last = std::find_if(first, order.end(), [&](auto j) { return rank(j) != rank(*first); });
+            for (bool near_only : {true, false})
+                for (auto j = first; j != last; ++j) place(*j, near_only);
+            first = last;
         }
         return std::move(out_);
     }
@@ -103,6 +104,21 @@
 
     const Room& need_of(const InstanceView& i) const { return in_.jobs[i.job].spec->need; }
 
+    // Among jobs of one rank, those go first whose image is at the places that are free. After a loss of many
+    // machines half of all places were fetching: each that came free went to the oldest job, whose image was
+    // elsewhere. Replicas don't wait for that, nor does a job that has waited long.
+    void place(std::size_t j, bool near_only) {
+        auto& job = in_.jobs[j];
+        if (job.waiting.empty()) return;
+        bool patient = job.spec->kind != Kind::service &&
+                       in_.unix_now - job.submitted < settings_.report_s * patience_reports;
+        if (!near_only && !patient) return;  // was tried whole the first time
+        if (job.spec->kind == Kind::gang)
+            gang(j, near_only && patient);
+        else
+            singles(j, near_only && patient);
+    }
+
     // A job is within its team's guarantee if it fits into it together with the team's earlier unfinished
     // jobs.
     void guarantees() {
@@ -259,21 +275,23 @@
         return 2 * static_cast<std::size_t>(near(j, m)) + (fitting ? 0 : 1);
     }
 
-    void singles(std::size_t j) {
+    void singles(std::size_t j, bool near_only) {
         auto& job = in_.jobs[j];
         auto& spec = *job.spec;
         auto pools = pools_of(job);
         std::array<Machines, tiers> sets;
         bool room = !known_full(spec.need, pools);
         if (room)
-            for (auto m : with_room(job, pools)) sets[tier(job, m)].push_back(m);
-        std::size_t missing = 0;
+            for (auto m : with_room(job, pools))
+                if (!near_only || near(job, m) <= Near::coming) sets[tier(job, m)].push_back(m);
+        std::size_t missing = 0, placed = 0;
         for (std::size_t k = 0; k < job.waiting.size(); ++k) {
             if (!team_ok(spec, 1)) break;
             std::optional<std::size_t> m;
             if (room) m = spec_big(spec, pools) ? fullest(job, sets) : two_choices(sets);
             if (m) {
                 take(j, job.waiting[k], *m);
+                ++placed;
                 if (open_room(in_.machines[*m]).holds(spec.need)) sets[tier(job, *m)].push_back(*m);
                 if (spec.spread || spec.one_zone) {
                     auto now = pools_of(job);
@@ -285,6 +303,7 @@
                 }
                 continue;
             }
+            if (near_only) break;
             if (room) note_full(job, pools);
             room = false;
             ++missing;
@@ -294,6 +313,7 @@
                 break;
             }
         }
+        job.waiting.erase(job.waiting.begin(), job.waiting.begin() + static_cast<std::ptrdiff_t>(placed));
         if (missing) out_.unplaced.push_back({j, missing});
     }
 
@@ -368,7 +388,7 @@
         return share(open_room(in_.machines[m]), total(m)) + 1e-3 * static_cast<double>(near(job, m));
     }
 
-    void gang(std::size_t j) {
+    void gang(std::size_t j, bool near_only) {
         auto& job = in_.jobs[j];
         auto& spec = *job.spec;
         // The tasks of an old attempt stay where they are until they exit; the next starts when all are gone.
@@ -392,11 +412,12 @@
             for (auto& g : groups) order.push_back(&g);
             std::stable_sort(order.begin(), order.end(), [&](auto* a, auto* b) { return far[a] < far[b]; });
             for (auto* g : order)
-                if (far[g].first < unreachable && place_all(j, *g)) return;
+                if (far[g].first <= (near_only ? within : furthest) && place_all(j, *g)) return;
         } else {
             groups.push_back(pools);
-            if (!known_full(spec.need, pools) && place_all(j, pools)) return;
+            if (distance(job, pools).first <= (near_only ? within : furthest) && place_all(j, pools)) return;
         }
+        if (near_only) return;
         out_.unplaced.push_back({j, job.waiting.size()});
         if (job.waiting.size() == 1) {
             make_room(j, pools);
@@ -406,7 +427,8 @@
             if (make_room_for_all(j, g)) return;
     }
     // How near the image is to the places that a gang would take: the worst of them, and all together.
-    static constexpr std::size_t unreachable = 9;
+    static constexpr auto within = static_cast<std::size_t>(Near::coming);
+    static constexpr auto furthest = static_cast<std::size_t>(Near::busy), unreachable = furthest + 1;
     std::pair<std::size_t, std::size_t> distance(const JobView& job, const PoolSet& pools) {
         auto& spec = *job.spec;
         auto most = job.waiting.size();
@@ -445,7 +467,10 @@
             for (auto& s : sets)
                 std::erase_if(s, [&](auto i) { return !zone_allowed(spec, job.zones, zone(i)); });
         }
-        if (taken == job.waiting.size()) return true;
+        if (taken == job.waiting.size()) {
+            job.waiting.clear();
+            return true;
+        }
         for (; taken > 0; --taken) untake();
         return false;
     }
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -52,7 +52,7 @@
     std::set<std::string> failed_on;
 };
 struct Input {
-    double now = 0;
+    double now = 0, unix_now = 0;
     std::size_t zones = 0;  // how many there are
     std::vector<Pool> pools;
     std::vector<MachineView> machines;
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,140 @@
+// HTTP client and server on the loopback: limits, malformed input, and connections that run out.
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/address.hpp"
+#include "http/client.hpp"
+#include "http/server.hpp"
+
+namespace coralhitch::http {
+namespace {
+
+// A free port of the loopback.
+std::string free_address() {
+    loop::Fd fd(::socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in sa{};
+    sa.sin_family = AF_INET;
+    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof sa;
+    ::bind(fd.get(), reinterpret_cast<sockaddr*>(&sa), size);
+    ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&sa), &size);
+    return "127.0.0.1:" + std::to_string(ntohs(sa.sin_port));
+}
+
+struct Bench {
+    loop::Loop loop;
+    std::string addr = free_address();
+    ServerLimits limits;
+    std::unique_ptr<Server> server;
+    std::size_t served = 0;
+    void serve() {
+        server = std::make_unique<Server>(loop, addr, limits, [this](Request r, Reply reply) {
+            ++served;
+            reply({200, r.body.empty() ? "{}" : r.body});
+        });
+    }
+    // The loop ends when the test is done; the guard only keeps a failing test from hanging.
+    void run() {
+        loop.after(20, [this] { loop.stop(); });
+        loop.run();
+    }
+};
+
+// Raw bytes in, everything that comes back until the server closes or answers once.
+std::string raw(Bench& b, const std::string& bytes) {
+    loop::Fd fd(::socket(AF_INET, SOCK_STREAM, 0));
+    auto sa = socket_address(b.addr);
+    EXPECT_EQ(::connect(fd.get(), reinterpret_cast<sockaddr*>(&*sa), sizeof *sa), 0);
+    EXPECT_EQ(::send(fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+    std::string out;
+    b.loop.watch(fd.get(), EPOLLIN, [&](std::uint32_t) {
+        char buffer[4096];
+        auto n = ::recv(fd.get(), buffer, sizeof buffer, MSG_DONTWAIT);
+        if (n > 0) out.append(buffer, static_cast<std::size_t>(n));
+        b.loop.unwatch(fd.get());
+        b.loop.stop();
+    });
+    b.run();
+    return out;
+}
+
+TEST(Http, MalformedAndOversizeRequestsCostTheirSenderOnly) {
+    struct Case {
+        const char* name;
+        std::string bytes, answer;
+        std::size_t served;
+    };
+    const Case cases[] = {
+        {"a request", "POST /x HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.1 200", 1},
+        {"no HTTP", "hello there\r\n\r\n", "HTTP/1.1 400", 0},
+        {"a length that is no number", "POST /x HTTP/1.1\r\nContent-Length: many\r\n\r\n", "HTTP/1.1 400", 0},
+        {"a body said to be too large", "POST /x HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+         "HTTP/1.1 413", 0},
+        {"a body that is too large in chunks",
+         "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + std::string(0x11000, 'x'),
+         "HTTP/1.1 413", 0},
+        {"a header without an end", "GET /x HTTP/1.1\r\nA: " + std::string(20000, 'x'), "HTTP/1.1 413", 0},
+    };
+    for (auto& c : cases) {
+        Bench b;
+        b.serve();
+        EXPECT_EQ(raw(b, c.bytes).substr(0, c.answer.size()), c.answer) << c.name;
+        EXPECT_EQ(b.served, c.served) << c.name;
+    }
+}
+// With more machines than connections, idle ones held every place and each new request was refused.
+TEST(Http, IdleConnectionsGiveWayToNewRequests) {
+    Bench b;
+    b.serve();
+    std::vector<std::unique_ptr<Server>> others;
+    std::vector<std::string> addresses{b.addr};
+    for (int k = 0; k < 4; ++k) {
+        addresses.push_back(free_address());
+        others.push_back(
+            std::make_unique<Server>(b.loop, addresses.back(), ServerLimits{}, [](Request, Reply reply) {
+                reply({200, "{}"});
+            }));
+    }
+    Client client(b.loop, {1024, 2, 4, 60});
+    std::size_t answered = 0, next = 0;
+    std::function<void()> ask = [&] {
+        if (next == addresses.size() * 2) return b.loop.stop();
+        client.send(addresses[next++ % addresses.size()], {"GET", "/x", {}}, 5,
+                    [&](std::optional<Response> r) {
+                        answered += r && r->status == 200;
+                        ask();
+                    });
+    };
+    ask();
+    b.run();
+    EXPECT_EQ(answered, addresses.size() * 2);
+}
+TEST(Http, ABusyClientRefusesAtOnceAndNothingIsHeldBack) {
+    Bench b;
+    b.server = std::make_unique<Server>(b.loop, b.addr, b.limits, [](Request, Reply) {});  // never answers
+    Client client(b.loop, {1024, 2, 4, 60});
+    int refused = 0;
+    for (int k = 0; k < 3; ++k)
+        client.send(b.addr, {"GET", "/x", {}}, 60, [&](std::optional<Response> r) {
+            refused += !r;
+            b.loop.stop();
+        });
+    b.run();
+    EXPECT_EQ(refused, 1);
+}
+// Nearly full, a server still answers, and closes, instead of turning peers away.
+TEST(Http, ANearlyFullServerClosesAfterEachAnswer) {
+    for (auto [limit, closes] : {std::pair(100u, false), {1u, true}}) {
+        Bench b;
+        b.limits.connections = limit;
+        b.serve();
+        auto answer = raw(b, "GET /x HTTP/1.1\r\n\r\n");
+        EXPECT_EQ(answer.find("Connection: close") != std::string::npos, closes);
+    }
+}
+
+}  // namespace
+}  // namespace coralhitch::http
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -262,6 +262,34 @@
         EXPECT_EQ(in.machines[d.starts[0].machine].id, nearest[first].id);
     }
 }
+// After a loss of many machines half of all places were fetching, since each that came free went to the
+// oldest job. Patience is bounded, and replicas have none.
+TEST(Plan, AmongEqualsTheJobWhoseImageIsAtHandGoesFirst) {
+    struct Case {
+        const char* name;
+        Kind kind;
+        double age;
+        std::size_t first;
+    };
+    const Case cases[] = {{"arrays", Kind::array, 10, 1},
+                          {"gangs", Kind::gang, 10, 1},
+                          {"an old one", Kind::gang, 3 * 20 + 1, 0},
+                          {"replicas", Kind::service, 10, 0}};
+    for (auto& c : cases) {
+        Input in;
+        in.unix_now = 1000;
+        in.machines = {machine("m0")};
+        in.machines[0].images = std::make_shared<const Images>(Images{7});
+        for (std::uint32_t k = 0; k < 2; ++k) {
+            in.jobs.push_back(job("j-" + std::to_string(k), c.kind, 1, 4));
+            in.jobs[k].submitted = in.unix_now - c.age + k;
+            in.jobs[k].image = 6 + k;
+        }
+        auto d = run(in);
+        ASSERT_EQ(d.starts.size(), 1u);
+        EXPECT_EQ(d.starts[0].job, c.first) << c.name;
+    }
+}
 TEST(Plan, AGangGoesToTheZoneWhereItsImageIs) {
     for (std::size_t with : {0u, 1u}) {
         Input in;
