Image caches are modelled as machines keep them, and told to whoever may lead next

Cause: a new leader knew only the images of what was on the machines at that moment, and a machine's images were never forgotten though its cache holds 150 GB; after each takeover tasks were sent to fetch what was cached elsewhere. The peers' interface takes larger bodies: a ping with thousands of jobs would have passed 64 KB.

--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t most_named = 1000;  // a sample does in a larger fleet
 constexpr double counts_reports = 1.0 / 10;
 constexpr std::size_t reports_at_once = 8;
+constexpr std::uint64_t images_pings = 3;  // caches change slowly
 constexpr double pass_on_reports = 1.0 / 3;
 constexpr double types_reports = 20;
 // After giving way, a controller keeps its leadership for this many worker leases, even if it hears nobody.
@@ -51,17 +52,12 @@
 }
 
 void Controller::won(std::uint64_t version) {
-    Context c{timers_,
-              http_,
-              settings_,
-              state_,
-              election_,
-              cloud_,
-              planner_,
-              metrics_,
-              types_,
-              [this](const std::set<std::string>& m) { return heard_elsewhere(m); },
-              [this] { return give_way(); }};
+    Context c{timers_,     http_,
+              settings_,   state_,
+              election_,   cloud_,
+              planner_,    metrics_,
+              types_,      [this](const std::set<std::string>& m) { return heard_elsewhere(m); },
+              remembered_, [this] { return give_way(); }};
     heard_.clear();
     leader_ = std::make_shared<Leader>(std::move(c), version, random_());
     leader_->start();
@@ -70,6 +66,7 @@
 }
 void Controller::lost() {
     metrics_.event("lost");
+    if (leader_) remembered_ = leader_->images();
     if (leader_) leader_->stop();
     leader_.reset();
 }
@@ -148,6 +145,13 @@
                        if (!r || r->status != 200) return;
                        if (auto p = wire::unpack_peer<wire::PeerPing>(r->body)) heard_ping(*p);
                    });
+    if (leader_ && pings_++ % images_pings == 0) {
+        auto images = wire::pack_peer(leader_->images());
+        for (auto& [label, p] : peers_)
+            http_.send(p.peer.addr,
+                       {"POST", std::string(wire::peer_images_path), images, "application/msgpack"},
+                       settings_.report_s * ping_reports, [](std::optional<http::Response>) {});
+    }
     timers_.after(settings_.report_s * ping_reports, [this] { ping_peers(); });
 }
 
@@ -357,6 +361,11 @@
                                       wire::PeerUserAnswer{a.status, std::move(a.body), a.retry_after_s})));
                               });
         }
+    } else if (r.target == wire::peer_images_path) {
+        if (auto images = wire::unpack_peer<wire::PeerImages>(r.body)) {
+            remembered_ = std::move(*images);
+            return reply(packed({}));
+        }
     } else if (r.target == wire::peer_job_path) {
         if (auto q = wire::unpack_peer<wire::PeerJobQuery>(r.body)) {
             auto c = leader_ ? leader_->counts(q->id) : std::nullopt;
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -104,8 +104,42 @@
     }
 }
 
+wire::PeerImages Leader::images() const {
+    wire::PeerImages out;
+    out.names.resize(picture_.images().size());
+    out.sizes.resize(out.names.size());
+    for (auto& [name, id] : picture_.images()) out.names[id] = name;
+    for (auto& [id, m] : picture_.machines()) {
+        if (m.cache.empty()) continue;
+        wire::PeerMachineImages row{id, {}};
+        for (auto& [image, gb] : m.cache) {
+            row.images.push_back(image);
+            out.sizes[image] = gb;
+        }
+        out.machines.push_back(std::move(row));
+    }
+    return out;
+}
+// Reports show only the images of what is on a machine now. A new leader that knew no others sent tasks to
+// fetch them all over.
+void Leader::recall_images() {
+    std::lock_guard lock(mutex_);
+    auto& told = c_.remembered;
+    std::vector<std::uint32_t> ids;
+    for (auto& name : told.names) ids.push_back(picture_.image(name));
+    for (auto& row : told.machines) {
+        auto* m = picture_.find(row.machine);
+        if (!m) continue;
+        std::vector<std::pair<std::uint32_t, double>> cache;
+        for (auto k : row.images)
+            if (k < ids.size() && k < told.sizes.size()) cache.emplace_back(ids[k], told.sizes[k]);
+        picture_.recall_cache(*m, std::move(cache));
+    }
+}
+
 void Leader::loaded() {
     loaded_ = true;
+    recall_images();
     spdlog::info("leader: loaded {} jobs and {} machines", table_.all().size(), picture_.machines().size());
     for (auto& [id, m] : picture_.machines()) probe(m);
     for (auto& [r, reply] : std::exchange(early_, {})) hello(std::move(r), std::move(reply));
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -36,7 +36,8 @@
     // How many of these machines another controller lately heard from, at the most; nothing if no other
     // answers and could lead.
     std::function<std::optional<std::size_t>(const std::set<std::string>&)> heard_elsewhere;
-    std::function<bool()> give_way;  // whether to resign for it; noted if so
+    const wire::PeerImages& remembered;  // what the leader before told of the machines' caches
+    std::function<bool()> give_way;      // whether to resign for it; noted if so
 };
 
 class Leader : public std::enable_shared_from_this<Leader> {
@@ -48,6 +49,7 @@
     void hello(wire::Report report, http::Reply reply);
     std::optional<api::TaskCounts> counts(const std::string& id);
     std::vector<wire::PeerCount> all_counts();
+    wire::PeerImages images() const;
     void types_changed();
     void cancelled(const std::string& id, std::uint64_t version);
     // How long after its authority has run out a leader goes on renewing workers' leases, without commands.
@@ -73,6 +75,7 @@
     void take_all(const state::Listed& jobs, const state::Listed& progress, const state::Listed& machines);
     void loaded();
     void retry_load();
+    void recall_images();
     void watch_jobs(std::uint64_t since);
     void reread_jobs();
     void take_job(const std::string& id, std::uint64_t version, const std::string& value);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -49,9 +49,12 @@
     http::Server users(
         loop, settings.listen, server_limits(settings, 0.7),
         [&](http::Request r, http::Reply reply) { controller.serve(std::move(r), std::move(reply)); });
-    http::Server peers(
-        loop, settings.peer_listen, server_limits(settings, 0.04),
-        [&](http::Request r, http::Reply reply) { controller.serve_peer(std::move(r), std::move(reply)); });
+    auto peer_limits = server_limits(settings, 0.04);
+    // What controllers tell each other grows with jobs and machines, beyond what a user may send.
+    peer_limits.message.body = static_cast<std::size_t>(settings.memory_mb * 1024 * 1024 / 32);
+    http::Server peers(loop, settings.peer_listen, peer_limits, [&](http::Request r, http::Reply reply) {
+        controller.serve_peer(std::move(r), std::move(reply));
+    });
     spdlog::info("{} of {}: listening on {}", settings.label, settings.zone, settings.listen);
     controller.start();
     loop.run();
--- a/src/fleet/picture.cpp
+++ b/src/fleet/picture.cpp
@@ -1,6 +1,7 @@
 #include "fleet/picture.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace coralhitch::fleet {
 using wire::Cause;
@@ -49,13 +50,32 @@
 std::uint32_t Picture::image(const std::string& name) {
     return images_.try_emplace(name, static_cast<std::uint32_t>(images_.size())).first->second;
 }
-void Picture::has_image(Machine& m, const std::string& name) {
-    auto id = image(name);
-    auto images = m.images ? *m.images : wire::Images{};
-    auto at = std::lower_bound(images.begin(), images.end(), id);
-    if (at != images.end() && *at == id) return;
-    images.insert(at, id);
-    m.images = std::make_shared<const wire::Images>(std::move(images));
+// A machine caches the images used last, as many as fit. What it has dropped must not count as there: a task
+// sent for it would fetch after all.
+void Picture::used_image(Machine& m, const wire::Job& job) {
+    auto id = image(job.image);
+    std::erase_if(m.cache, [&](auto& c) { return c.first == id; });
+    m.cache.emplace_back(id, job.image_gb);
+    trim_cache(m);
+}
+void Picture::recall_cache(Machine& m, std::vector<std::pair<std::uint32_t, double>> cache) {
+    if (!m.cache.empty()) return;
+    m.cache = std::move(cache);
+    trim_cache(m);
+}
+void Picture::trim_cache(Machine& m) {
+    auto type = types_.find(m.type);
+    double left = type == types_.end() || type->second.cache_gb <= 0 ? std::numeric_limits<double>::max()
+                                                                     : type->second.cache_gb;
+    wire::Images images;
+    std::size_t kept = 0;
+    for (auto c = m.cache.rbegin(); c != m.cache.rend() && (kept == 0 || left >= c->second); ++c, ++kept) {
+        left -= c->second;
+        images.push_back(c->first);
+    }
+    m.cache.erase(m.cache.begin(), m.cache.end() - static_cast<std::ptrdiff_t>(kept));
+    std::sort(images.begin(), images.end());
+    if (!m.images || *m.images != images) m.images = std::make_shared<const wire::Images>(std::move(images));
 }
 void Picture::flush_later(Machine& m) {
     if (m.unsent) return;
@@ -177,7 +197,7 @@
         i.seen = true;
         i.state = t.state;
         if (i.spec && t.state != TaskState::fetching && !std::exchange(i.image_noted, true))
-            has_image(m, i.spec->image);
+            used_image(m, *i.spec);
         if (t.state != TaskState::fetching && t.state != TaskState::waiting && i.running_since < 0)
             i.running_since = now;
     }
--- a/src/fleet/picture.hpp
+++ b/src/fleet/picture.hpp
@@ -60,7 +60,8 @@
     bool probing = false;
     std::map<wire::TaskId, Instance> tasks;
     std::map<std::pair<wire::TaskId, std::uint64_t>, Ended> ended;
-    std::shared_ptr<const wire::Images> images;  // replaced, never changed: plans hold on to it
+    std::vector<std::pair<std::uint32_t, double>> cache;  // images and their sizes, the last used last
+    std::shared_ptr<const wire::Images> images;  // of `cache`; replaced, never changed: plans hold on to it
     bool draining = false;                       // surplus, by the last plan of what to rent and return
     bool unsent = false;                         // among those that `to_flush` names
     std::set<std::string> error_jobs;
@@ -133,6 +134,9 @@
     const std::vector<wire::Pool>& pools() const { return pools_; }
     std::size_t zones() const { return zones_.size(); }
     std::uint32_t image(const std::string& name);
+    const std::map<std::string, std::uint32_t>& images() const { return images_; }
+    // What an earlier leader knew of the machine's cache, if nothing newer is known.
+    void recall_cache(Machine& m, std::vector<std::pair<std::uint32_t, double>> cache);
     // Machines for which direct commands may be due; walking all of them after every report took longer than
     // the reports themselves.
     std::vector<std::string> to_flush() { return std::exchange(to_flush_, {}); }
@@ -141,7 +145,8 @@
   private:
     void know_type(wire::Pool& p) const;
     std::size_t pool_of(const std::string& type, const std::string& zone, bool spot);
-    void has_image(Machine& m, const std::string& image);
+    void used_image(Machine& m, const wire::Job& job);
+    void trim_cache(Machine& m);
     std::vector<End> vanish_all(Machine& m);
     void fence_unsure(Machine& m);
     std::uint64_t base_;
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -11,6 +11,7 @@
 
 inline constexpr std::string_view peer_ping_path = "/peer/ping";
 inline constexpr std::string_view peer_user_path = "/peer/user";
+inline constexpr std::string_view peer_images_path = "/peer/images";
 inline constexpr std::string_view peer_job_path = "/peer/job";
 inline constexpr std::string_view peer_cancelled_path = "/peer/cancelled";
 
@@ -50,6 +51,18 @@
     std::uint64_t version = 0;
     MSGPACK_DEFINE(id, version)
 };
+// Which images the machines have cached, from the leader: whoever leads next can't learn it from reports.
+struct PeerMachineImages {
+    std::string machine;
+    std::vector<std::uint32_t> images;  // places in `names`, the last used last
+    MSGPACK_DEFINE(machine, images)
+};
+struct PeerImages {
+    std::vector<std::string> names;
+    std::vector<double> sizes;  // GB, of each name
+    std::vector<PeerMachineImages> machines;
+    MSGPACK_DEFINE(names, sizes, machines)
+};
 struct PeerJobCounts {
     bool known = false;
     std::uint64_t done = 0, running = 0;
--- a/tests/picture_test.cpp
+++ b/tests/picture_test.cpp
@@ -181,5 +181,46 @@
     EXPECT_TRUE(b.sends(Op::stop));
 }
 
+// Cache of 100 GB: what does not fit any more is dropped, the image used longest ago first.
+TEST(Picture, ImagesThatTheCacheHasDroppedDoNotCountAsThere) {
+    struct Case {
+        std::vector<int> uses;  // images of 40 GB each, by number
+        std::vector<int> there;
+    };
+    const Case cases[] = {{{1}, {1}}, {{1, 2}, {1, 2}}, {{1, 2, 3}, {2, 3}}, {{1, 2, 1, 3}, {1, 3}}};
+    for (auto& c : cases) {
+        Bench b;
+        std::vector<Spec> specs;
+        for (int image : c.uses) {
+            auto j = std::make_shared<wire::Job>(*b.spec);
+            j->image = "img-" + std::to_string(image);
+            j->image_gb = 40;
+            b.spec = j;
+            b.on = {{{"j-1", static_cast<std::uint32_t>(specs.size())}, 5, TaskState::running}};
+            specs.push_back(j);
+            b.hear(b.base());
+        }
+        wire::Images expected;
+        for (int image : c.there) expected.push_back(b.picture.image("img-" + std::to_string(image)));
+        std::sort(expected.begin(), expected.end());
+        ASSERT_TRUE(b.machine().images);
+        EXPECT_EQ(*b.machine().images, expected);
+    }
+}
+
+// What an earlier leader knew counts until something newer is known.
+TEST(Picture, ACacheIsRecalledUnlessNewerIsKnown) {
+    for (bool newer : {false, true}) {
+        Bench b;
+        if (newer) b.on = {{task, 5, TaskState::running}};
+        b.hear(b.base());
+        auto old = b.picture.image("old");
+        b.picture.recall_cache(b.machine(), {{old, 30}, {b.picture.image("older"), 80}});
+        ASSERT_TRUE(b.machine().images);
+        // 100 GB: of the recalled ones only the last used fits.
+        EXPECT_EQ(*b.machine().images, wire::Images{b.picture.image(newer ? "img" : "older")});
+    }
+}
+
 }  // namespace
 }  // namespace coralhitch::fleet
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -114,6 +114,10 @@
     ASSERT_EQ(back->counts.size(), 1u);
     EXPECT_EQ(back->counts[0].running, 4u);
     EXPECT_EQ(back->leader_version, 1ull << 60);
+    PeerImages images{{"img-1", "img-2"}, {5, 7}, {{"vm-1", {1, 0}}}};
+    auto told = unpack_peer<PeerImages>(pack_peer(images));
+    ASSERT_TRUE(told && told->machines.size() == 1);
+    EXPECT_EQ(told->machines[0].images, (std::vector<std::uint32_t>{1, 0}));
     EXPECT_FALSE(unpack_peer<PeerPing>("{\"label\":1}"));
     EXPECT_FALSE(unpack_peer<PeerPing>(""));
 }
