--- a/src/daemon/leader_plans.cpp
+++ b/src/daemon/leader_plans.cpp
@@ -13,7 +13,7 @@
 namespace {
 constexpr double plan_gap_reports = 1.0 / 12;
 constexpr double capacity_reports = 1.0 / 2;
-constexpr double refused_reports = 10;
+constexpr double refused_reports = 3;
 constexpr std::size_t tasks_per_plan = 64;
 }  // namespace
 
