--- a/src/capacity/capacity.cpp
+++ b/src/capacity/capacity.cpp
@@ -32,10 +32,7 @@
     }
     Decisions run() {
         for (auto& n : in_.needs) pack(n);
-        for (auto& b : bins_) {
-            spare_ += free_share(b);
-            if (!pool(b.pool).spot) spare_ordinary_ += free_share(b);
-        }
+        for (auto& b : bins_) spare_ += free_share(b);
         reserve();
         Decisions d;
         std::map<std::size_t, int> rents;
@@ -146,18 +143,10 @@
         any.spot = true;
         auto every = pools_of(any, {});
         while (!in_.types.empty() && surplus() < 0) {
-            bool enough = spare_ordinary_ >= spare_ordinary_wanted();
-            if (!open(any, enough ? every : ordinary) && !open(any, every)) return;
+            if (!open(any, ordinary) && !open(any, every)) return;
             spare_ += 1;
-            if (!pool(bins_.back().pool).spot) spare_ordinary_ += 1;
         }
     }
-    // Spare room for work that may use spot machines is kept there: an ordinary reserve for all of it was a
-    // quarter of the price.
-    double spare_ordinary_wanted() const {
-        double used = static_cast<double>(bins_.size()) - spare_;
-        return std::max({1.0, used * settings_.op.reserve_ratio * (1 - in_.spot_share), guaranteed() - used});
-    }
     // Two random choices spread tasks over all machines, so none would ever become empty. The surplus is
     // therefore left out of the draws: emptiest first, never a machine that holds a service.
     void drain(Decisions& d) {
@@ -200,7 +189,7 @@
     const Input& in_;
     const config::Settings& settings_;
     std::vector<Bin> bins_, dark_bins_;
-    double spare_ = 0, spare_ordinary_ = 0;
+    double spare_ = 0;
     std::vector<int> per_zone_;
     std::vector<const wire::MachineType*> rented_type_;  // by pool; null: can't be rented
 };
--- a/src/capacity/capacity.hpp
+++ b/src/capacity/capacity.hpp
@@ -31,7 +31,6 @@
     std::vector<placement::Pool> pools;  // all that the types allow, and any other that has machines
     std::vector<MachineView> machines;
     std::vector<Need> needs;
-    double spot_share = 0;          // of the work, placed and waiting, what may use spot machines
     std::set<std::size_t> refused;  // pools lately without capacity
     std::vector<bool> dark;         // zones from which nothing is heard
 };
--- a/src/daemon/leader_plans.cpp
+++ b/src/daemon/leader_plans.cpp
@@ -168,18 +168,10 @@
         c.idle_for = now() - (booting ? m->created : m->idle_since);
         in.machines.push_back(std::move(c));
     }
-    double all = 0, spot = 0;
-    auto count = [&](const wire::Job& job, double tasks) {
-        all += tasks * (job.need.gpus > 0 ? job.need.gpus : job.need.cpus);
-        if (job.spot) spot += tasks * (job.need.gpus > 0 ? job.need.gpus : job.need.cpus);
-    };
-    for (auto& i : p.in.instances) count(*p.in.jobs[i.job].spec, 1);
     for (auto& u : p.out.unplaced) {
         auto& j = p.in.jobs[u.job];
-        count(*j.spec, static_cast<double>(u.count));
         in.needs.push_back({j.spec.get(), u.count, j.zones});
     }
-    in.spot_share = all > 0 ? spot / all : 0;
 }
 
 bool Leader::may_start(jobs::Entry& e, std::uint32_t task, Machine& m, const placement::ZoneCounts& zones) {
