--- a/src/capacity/capacity.cpp
+++ b/src/capacity/capacity.cpp
@@ -64,12 +64,8 @@
         return std::max(0.0, s);
     }
 
-    std::vector<bool> pools_of(const wire::Job& job, const placement::ZoneCounts& zones) const {
-        std::vector<bool> set(in_.pools.size());
-        for (std::size_t p = 0; p < set.size(); ++p)
-            set[p] = placement::type_allowed(job, pool(p).type, pool(p).zone, pool(p).spot) &&
-                     placement::zone_allowed(job, zones, pool(p).zone_index);
-        return set;
+    placement::PoolSet pools_of(const wire::Job& job, const placement::ZoneCounts& zones) const {
+        return placement::allowed_pools(job, zones, in_.pools);
     }
     void pack(const Need& n) {
         auto zones = n.zones;
@@ -94,7 +90,7 @@
         }
     }
     // A machine to rent for the job: the cheapest per task it holds, then the zone with the fewest machines.
-    bool open(const wire::Job& job, const std::vector<bool>& pools, bool in_dark = false) {
+    bool open(const wire::Job& job, const placement::PoolSet& pools, bool in_dark = false) {
         if (full()) return false;
         std::optional<std::size_t> best;
         double best_cost = 0;
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -122,18 +122,18 @@
     }
     return p;
 }
-void Controller::heard_ping(const wire::PeerPing& p) {
-    auto it = peers_.find(p.label);
+void Controller::heard_ping(wire::PeerPing ping) {
+    auto it = peers_.find(ping.label);
     if (it == peers_.end()) return;
-    it->second.last = p;
+    auto counts = std::exchange(ping.counts, {});
+    auto& last = it->second.last = std::move(ping);
     it->second.heard = timers_.now();
-    if (!p.counts.empty() && p.leader == p.label) {
+    if (!counts.empty() && last.leader == last.label) {
         counted_ = timers_.now();
         counts_.clear();
-        for (auto& c : p.counts) counts_[c.id] = {c.done, c.running};
-        it->second.last.counts.clear();
+        for (auto& c : counts) counts_[c.id] = {c.done, c.running};
     }
-    election_.peer_says(p.leader, p.leader_version);
+    election_.peer_says(last.leader, last.leader_version);
 }
 void Controller::ping_peers() {
     auto ping = own_ping();
@@ -143,7 +143,7 @@
         http_.send(p.peer.addr, {"POST", std::string(wire::peer_ping_path), body, "application/msgpack"},
                    settings_.report_s * ping_reports, [this](std::optional<http::Response> r) {
                        if (!r || r->status != 200) return;
-                       if (auto p = wire::unpack_peer<wire::PeerPing>(r->body)) heard_ping(*p);
+                       if (auto p = wire::unpack_peer<wire::PeerPing>(r->body)) heard_ping(std::move(*p));
                    });
     if (leader_ && pings_++ % images_pings == 0) {
         auto images = wire::pack_peer(leader_->images());
@@ -349,7 +349,7 @@
     if (r.method != "POST") return reply({405, {}});
     if (r.target == wire::peer_ping_path) {
         if (auto p = wire::unpack_peer<wire::PeerPing>(r.body)) {
-            heard_ping(*p);
+            heard_ping(std::move(*p));
             return reply(packed(wire::pack_peer(own_ping())));
         }
     } else if (r.target == wire::peer_user_path) {
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -45,7 +45,7 @@
     void lost();
     void ping_peers();
     void check_state();
-    void heard_ping(const wire::PeerPing& p);
+    void heard_ping(wire::PeerPing ping);
     wire::PeerPing own_ping();
     bool fresh(const PeerState& p) const;
     std::optional<std::size_t> heard_elsewhere(const std::set<std::string>& machines) const;
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -20,7 +20,7 @@
     // A cancelled task that a cut-off leader keeps alive must still be gone in time: its worker's lease runs
     // out lease_s after the last answer, which is at most this long after the authority, itself at most a TTL
     // after the cancellation was told.
-    return std::max(0.0, s.cancel_s - s.lease_s * (1 + drift) - ttl - s.report_s);
+    return std::max(0.0, s.cancel_s - s.lease_s * (1 + state::drift) - ttl - s.report_s);
 }
 
 Leader::Leader(Context context, std::uint64_t version, std::uint64_t seed)
@@ -209,9 +209,11 @@
 std::optional<api::TaskCounts> Leader::counts(const std::string& id) {
     if (!loaded_) return std::nullopt;
     auto* e = table_.find(id);
-    if (!e) return std::nullopt;
-    api::TaskCounts c{e->done_count, 0};
-    for (auto& [task, a] : e->active) {
+    return e ? std::optional(count(id, *e)) : std::nullopt;
+}
+api::TaskCounts Leader::count(const std::string& id, const jobs::Entry& e) {
+    api::TaskCounts c{e.done_count, 0};
+    for (auto& [task, a] : e.active) {
         auto* m = picture_.find(a.machine);
         if (!m) continue;
         auto it = m->tasks.find({id, task});
@@ -223,8 +225,10 @@
 std::vector<wire::PeerCount> Leader::all_counts() {
     std::vector<wire::PeerCount> out;
     if (!loaded_) return out;
-    for (auto& [id, e] : table_.all())
-        if (auto c = counts(id)) out.push_back({id, c->done, c->running});
+    for (auto& [id, e] : table_.all()) {
+        auto c = count(id, e);
+        out.push_back({id, c.done, c.running});
+    }
     return out;
 }
 
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -56,8 +56,6 @@
     static double keep_alive_s(const config::Settings& s, double ttl);
 
   private:
-    // Twice the drift that clocks may show, on top of what a proof by time waits for.
-    static constexpr double drift = 0.001;
     struct Rental {
         std::size_t pool = 0;
         int count = 0;
@@ -71,6 +69,7 @@
     }
     double now() const { return c_.timers.now(); }
     bool authority() const { return !stopped_ && c_.election.authority(); }
+    api::TaskCounts count(const std::string& id, const jobs::Entry& e);
     void load();
     void take_all(const state::Listed& jobs, const state::Listed& progress, const state::Listed& machines);
     void loaded();
@@ -126,7 +125,6 @@
         capacity::Input fleet;  // all but the machines, which the planner fills in
         capacity::Decisions capacity;
         bool with_capacity = false;
-        double took = 0;
     };
     placement::Input snapshot();
     capacity::Input rentals() const;
--- a/src/daemon/leader_jobs.cpp
+++ b/src/daemon/leader_jobs.cpp
@@ -12,14 +12,14 @@
 
 void Leader::store_progress() {
     if (!authority()) return;
-    bool settled = all_settled();
     std::vector<std::pair<std::string, JobState>> over;
     std::vector<std::string> dirty;
     for (auto& [id, e] : table_.all()) {
         if (e.writing || now() < e.retry_at) continue;
         if (e.cancelled) {
             // Its key stays until its tasks are proven gone: a later leader must know to stop them.
-            if (settled && e.active.empty() && e.strays == 0) over.emplace_back(id, JobState::cancelled);
+            if (e.active.empty() && e.strays == 0 && all_settled())
+                over.emplace_back(id, JobState::cancelled);
         } else if (e.all_done()) {
             over.emplace_back(id, JobState::done);
         } else if (!e.unstored.empty()) {
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -374,7 +374,7 @@
     if (due) probe(m);
     // Proof by time: the worker kills its tasks lease_s after it sent the last report that was answered. That
     // report was sent before its answer; an answer to a delayed report counts too.
-    bool lease_over = t > m.renewed + s.lease_s * (1 + 2 * drift) + s.report_s / 3;
+    bool lease_over = t > m.renewed + s.lease_s * (1 + 2 * state::drift) + s.report_s / 3;
     if (lease_over && silent > s.lease_s && (!m.tasks.empty() || !m.settled)) {
         spdlog::info("machine {}: its lease is out", m.id);
         std::lock_guard lock(mutex_);
--- a/src/daemon/leader_plans.cpp
+++ b/src/daemon/leader_plans.cpp
@@ -118,8 +118,7 @@
             if (i.spec->kind == Kind::service) ++v.services;
             if (i.state == wire::TaskState::fetching && !i.stop) {
                 auto image = in.jobs[it->second].image;
-                bool there = m.images && std::binary_search(m.images->begin(), m.images->end(), image);
-                if (!there) v.coming.push_back(image);
+                if (!placement::has_image(v, image)) v.coming.push_back(image);
             }
             in.instances.push_back({it->second, in.machines.size(), task.index,
                                     i.stop || i.state == wire::TaskState::saving, i.placed, i.running_since});
@@ -184,8 +183,9 @@
 
 // Every start is checked again: since the snapshot, reports and cancellations have come in.
 void Leader::apply_starts(Plan& p) {
-    auto used = team_used();
     auto& starts = p.out.starts;
+    if (starts.empty()) return;  // most plans, and the sum walks the whole fleet
+    auto used = team_used();
     for (std::size_t k = 0; k < starts.size();) {
         auto job = starts[k].job;
         auto& id = p.in.jobs[job].spec->id;
@@ -230,10 +230,11 @@
 
 void Leader::apply(Plan& p) {
     if (!authority()) return;
-    std::array<std::size_t, 3> missing{};
-    for (auto& u : p.out.unplaced) missing[static_cast<std::size_t>(p.in.jobs[u.job].spec->kind)] += u.count;
     c_.metrics.plan_took(now() - last_plan_);
     if (spdlog::should_log(spdlog::level::debug)) {
+        std::array<std::size_t, 3> missing{};
+        for (auto& u : p.out.unplaced)
+            missing[static_cast<std::size_t>(p.in.jobs[u.job].spec->kind)] += u.count;
         std::size_t usable = 0, whole = 0;
         wire::Room free;
         for (auto& m : p.in.machines) {
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -25,6 +25,16 @@
     }
     return true;
 }
+PoolSet allowed_pools(const wire::Job& job, const ZoneCounts& zones, const std::vector<Pool>& pools) {
+    PoolSet set(pools.size());
+    for (std::size_t p = 0; p < set.size(); ++p)
+        set[p] = type_allowed(job, pools[p].type, pools[p].zone, pools[p].spot) &&
+                 zone_allowed(job, zones, pools[p].zone_index);
+    return set;
+}
+bool has_image(const MachineView& m, std::uint32_t image) {
+    return m.images && std::binary_search(m.images->begin(), m.images->end(), image);
+}
 bool team_allows(const config::Team& team, const Room& used, const Room& more) {
     constexpr double slack = 1e-6;
     if (team.cpus_max > 0 && used.cpus + more.cpus > team.cpus_max + slack) return false;
@@ -100,7 +110,6 @@
 
   private:
     using Machines = std::vector<std::size_t>;
-    using PoolSet = std::vector<bool>;
 
     const Room& need_of(const InstanceView& i) const { return in_.jobs[i.job].spec->need; }
 
@@ -174,16 +183,7 @@
     const Room& total(std::size_t m) const { return in_.pools[in_.machines[m].pool].total; }
     std::size_t zone(std::size_t m) const { return in_.pools[in_.machines[m].pool].zone_index; }
 
-    // What the job's type, zone and kind allow, and its other tasks at present.
-    PoolSet pools_of(const JobView& j) const {
-        PoolSet set(in_.pools.size());
-        for (std::size_t p = 0; p < set.size(); ++p) {
-            auto& pool = in_.pools[p];
-            set[p] = type_allowed(*j.spec, pool.type, pool.zone, pool.spot) &&
-                     zone_allowed(*j.spec, j.zones, pool.zone_index);
-        }
-        return set;
-    }
+    PoolSet pools_of(const JobView& j) const { return allowed_pools(*j.spec, j.zones, in_.pools); }
     template <class F>
     void each_machine(const JobView& j, const PoolSet& pools, F f) const {
         for (std::size_t p = 0; p < pools.size(); ++p) {
@@ -248,15 +248,11 @@
         --out_.counts.tasks;
     }
 
-    bool has_image(const JobView& j, std::size_t m) const {
-        auto& images = in_.machines[m].images;
-        return images && std::binary_search(images->begin(), images->end(), j.image);
-    }
     // How far a machine is from having the job's image: there, on its way, not there, and not there while
     // others are on their way, which share the rate.
     enum class Near { there, coming, cold, busy };
     Near near(const JobView& j, std::size_t m) const {
-        if (has_image(j, m)) return Near::there;
+        if (has_image(in_.machines[m], j.image)) return Near::there;
         auto& coming = in_.machines[m].coming;
         if (coming.empty()) return Near::cold;
         return std::find(coming.begin(), coming.end(), j.image) == coming.end() ? Near::busy : Near::coming;
@@ -404,19 +400,15 @@
                 groups.push_back(std::move(only));
             }
             std::shuffle(groups.begin(), groups.end(), random_);
-            // A gang starts when the last of its tasks has the image: the zone where it is nearest goes
-            // first.
-            std::map<const PoolSet*, std::pair<std::size_t, std::size_t>> far;
-            for (auto& g : groups) far[&g] = distance(job, g);
-            std::vector<const PoolSet*> order;
-            for (auto& g : groups) order.push_back(&g);
-            std::stable_sort(order.begin(), order.end(), [&](auto* a, auto* b) { return far[a] < far[b]; });
-            for (auto* g : order)
-                if (far[g].first <= (near_only ? within : furthest) && place_all(j, *g)) return;
         } else {
             groups.push_back(pools);
-            if (distance(job, pools).first <= (near_only ? within : furthest) && place_all(j, pools)) return;
         }
+        // A gang starts when the last of its tasks has the image: the zone where it is nearest goes first.
+        std::vector<std::pair<Distance, const PoolSet*>> order;
+        for (auto& g : groups) order.emplace_back(distance(job, g), &g);
+        std::stable_sort(order.begin(), order.end(), [](auto& a, auto& b) { return a.first < b.first; });
+        for (auto& [far, g] : order)
+            if (far.first <= (near_only ? within : furthest) && place_all(j, *g)) return;
         if (near_only) return;
         out_.unplaced.push_back({j, job.waiting.size()});
         if (job.waiting.size() == 1) {
@@ -429,7 +421,8 @@
     // How near the image is to the places that a gang would take: the worst of them, and all together.
     static constexpr auto within = static_cast<std::size_t>(Near::coming);
     static constexpr auto furthest = static_cast<std::size_t>(Near::busy), unreachable = furthest + 1;
-    std::pair<std::size_t, std::size_t> distance(const JobView& job, const PoolSet& pools) {
+    using Distance = std::pair<std::size_t, std::size_t>;
+    Distance distance(const JobView& job, const PoolSet& pools) {
         auto& spec = *job.spec;
         auto most = job.waiting.size();
         std::vector<std::size_t> far;
@@ -503,7 +496,7 @@
         room -= in_.machines[m].reserved;
         Choice c;
         // A place that is being emptied already always goes first: otherwise each plan would stop others.
-        c.cost = has_image(in_.jobs[j], m) ? emptied : emptied / 2;
+        c.cost = has_image(in_.machines[m], in_.jobs[j].image) ? emptied : emptied / 2;
         if (room.holds(spec.need)) return c;
         c.cost = fetch_s(in_.jobs[j], m);
         if (lowest_rank_[m] >= rank(j)) return std::nullopt;
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -85,6 +85,10 @@
 // Rules that hold for a single task, given where the job's other tasks are.
 bool type_allowed(const wire::Job& job, const std::string& type, const std::string& zone, bool spot);
 bool zone_allowed(const wire::Job& job, const ZoneCounts& zones, std::size_t zone);
+// Which of the pools the job may use: what its type, zone and kind allow, and its other tasks at present.
+using PoolSet = std::vector<bool>;
+PoolSet allowed_pools(const wire::Job& job, const ZoneCounts& zones, const std::vector<Pool>& pools);
+bool has_image(const MachineView& m, std::uint32_t image);
 bool team_allows(const config::Team& team, const wire::Room& used, const wire::Room& more);
 double grace_of(const wire::Job& job);
 // Two random choices among `n` machines: draws at random, skips those without room, and returns the one with
--- a/src/state/election.cpp
+++ b/src/state/election.cpp
@@ -6,9 +6,7 @@
 
 namespace coralhitch::state {
 namespace {
-// Steady clocks of two machines drift apart by up to 0.05%; twice that, and a margin for the time between a
-// check of the clock and the act that follows it.
-constexpr double drift = 0.001;
+// A margin for the time between a check of the clock and the act that follows it.
 constexpr double margin_ratio = 1.0 / 20;
 constexpr double renewals_per_ttl = 4;
 }  // namespace
--- a/src/state/election.hpp
+++ b/src/state/election.hpp
@@ -7,6 +7,9 @@
 
 namespace coralhitch::state {
 
+// Steady clocks of two machines drift apart by up to 0.05%; twice that, on top of whatever is judged by time.
+inline constexpr double drift = 0.001;
+
 class Election {
   public:
     struct Events {
