Questions about live jobs are confirmed in batches; who hears no machines stands back

Now one watch that does not wait confirms all questions that came before it. Ruled out: processor time, sockets.

--- /dev/null
+++ b/src/api/live_jobs.hpp
@@ -0,0 +1,61 @@
+// Which jobs are live, as the state service says when it is asked, for many questions with one request.
+//
+// A copy of the live jobs' versions is kept at some revision. A question is answered only after a request to
+// the state service that was sent after it came in: a watch that does not wait returns all changes since that
+// revision, or shows that there are none. Questions that come while one is under way go with the next.
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config/settings.hpp"
+#include "loop/timers.hpp"
+#include "state/client.hpp"
+
+namespace coralhitch::api {
+
+class LiveJobs {
+  public:
+    struct Live {
+        std::uint64_t version = 0;
+        bool cancelled = false, readable = true;
+    };
+    struct Answer {
+        bool ok = false;  // false: the state service did not answer; nothing is known
+        std::optional<Live> live;
+    };
+    using Done = std::function<void(Answer)>;
+
+    LiveJobs(loop::Timers& timers, state::Client& state, const config::Settings& settings);
+    void confirm(const std::string& id, Done done);
+    void keep_up();  // now and then, so that the revision does not become too old to ask from
+
+    std::uint64_t requests() const { return requests_; }
+    std::size_t size() const { return jobs_.size(); }
+
+  private:
+    struct Question {
+        std::string id;
+        Done done;
+    };
+    void ask();
+    void ask_soon();
+    void read_all(std::vector<Question> batch);
+    void read_changes(std::vector<Question> batch);
+    void take(const std::string& key, std::uint64_t version, const std::string* value);
+    void answer(std::vector<Question> batch, bool ok);
+
+    loop::Timers& timers_;
+    state::Client& state_;
+    const config::Settings& settings_;
+    std::unordered_map<std::string, Live> jobs_;
+    std::uint64_t revision_ = 0, requests_ = 0;  // revision 0: all must be read first
+    std::vector<Question> waiting_;
+    bool asking_ = false, armed_ = false;
+    double last_ = -1;
+};
+
+}  // namespace coralhitch::api
--- a/src/api/users.cpp
+++ b/src/api/users.cpp
@@ -41,33 +41,30 @@
 
 Users::Users(loop::Timers& timers, state::Client& state, const config::Settings& settings,
              Surroundings& around)
-    : timers_(timers), state_(state), settings_(settings), around_(around) {}
+    : timers_(timers), state_(state), settings_(settings), around_(around), live_(timers, state, settings) {}
 
 // Live first, then final: a job moves in that direction only, in one transaction, so a job that is in neither
-// was not accepted when the reads began.
+// was not accepted when the reads began. With a read for each question, users who asked eight times as often
+// used up the requests that the state service allows, and half of them got no answer.
 void Users::look_up(const std::string& id, std::function<void(Known)> done) {
-    if (auto it = finals_.find(id); it != finals_.end()) return done({true, {}, 0, it->second});
-    state_.get(keys::job(id), state::Rank::read, [this, id, done](state::Found f) {
-        if (!f.ok) return done({});
+    if (auto it = finals_.find(id); it != finals_.end()) return done({true, {}, it->second});
+    live_.confirm(id, [this, id, done](LiveJobs::Answer a) {
+        if (!a.ok || a.live) return done({a.ok, a.live, {}});
+        read_final(id, done);
+    });
+}
+void Users::read_final(const std::string& id, std::function<void(Known)> done) {
+    state_.get(keys::final(id), state::Rank::read, [this, id, done](state::Found f) {
+        if (!f.ok || !f.entry) return done({f.ok, {}, {}});
         try {
-            if (f.entry) return done({true, wire::parse_job_record(f.entry->value), f.entry->version, {}});
+            auto r = wire::parse_final_record(f.entry->value);
+            if (finals_.size() > settings_.memory_mb * finals_per_mb) finals_.clear();
+            finals_[id] = r;
+            done({true, {}, r});
         } catch (const wire::Malformed& m) {
-            spdlog::error("job record {}: {}", id, m.what());
-            return done({});
+            spdlog::error("final record {}: {}", id, m.what());
+            done({});
         }
-        state_.get(keys::final(id), state::Rank::read, [this, id, done](state::Found g) {
-            if (!g.ok) return done({});
-            if (!g.entry) return done({true, {}, 0, {}});
-            try {
-                auto r = wire::parse_final_record(g.entry->value);
-                if (finals_.size() > settings_.memory_mb * finals_per_mb) finals_.clear();
-                finals_[id] = r;
-                done({true, {}, 0, r});
-            } catch (const wire::Malformed& m) {
-                spdlog::error("final record {}: {}", id, m.what());
-                done({});
-            }
-        });
     });
 }
 
@@ -151,25 +148,39 @@
 void Users::cancel(const std::string& id, http::Reply reply, int tries) {
     if (!wire::valid_job_id(id)) return reply({404, wire::error_body("no such job")});
     if (tries >= cancel_tries) return reply(later());
-    look_up(id, [this, id, reply, tries](Known k) {
-        if (!k.ok) return reply(later());
-        if (k.unknown()) return reply({404, wire::error_body("no such job")});
-        if (k.final || k.live->cancelled) return answer_known(id, k, false, reply);
-        wire::Txn t;
-        t.conditions = {{keys::job(id), k.version}};
-        auto record = *k.live;
-        record.cancelled = true;
-        t.changes = {{keys::job(id), wire::stored(record), 0}};
-        state_.txn(std::move(t), state::Rank::write, [this, id, reply, tries](state::Committed c) {
-            using S = state::Committed::Status;
-            if (c.status == S::committed) {
-                around_.cancelled(id, c.revision);
-                return reply(status(200, {id, JobState::cancelled, {}, {}}));
-            }
-            if (c.status == S::refused) return reply(later());
-            cancel(id, reply, tries + 1);
+    // The record itself is needed, to be written again.
+    state_.get(keys::job(id), state::Rank::write, [this, id, reply, tries](state::Found f) {
+        if (!f.ok) return reply(later());
+        if (f.entry) return store_cancelled(id, *f.entry, reply, tries);
+        read_final(id, [this, id, reply](Known k) {
+            if (!k.ok) return reply(later());
+            if (k.unknown()) return reply({404, wire::error_body("no such job")});
+            answer_known(id, k, false, reply);
         });
     });
 }
+void Users::store_cancelled(const std::string& id, const wire::Entry& entry, http::Reply reply, int tries) {
+    wire::JobRecord record;
+    try {
+        record = wire::parse_job_record(entry.value);
+    } catch (const wire::Malformed& m) {
+        spdlog::error("job record {}: {}", id, m.what());
+        return reply(later());
+    }
+    if (record.cancelled) return reply(status(200, {id, JobState::cancelled, {}, {}}));
+    wire::Txn t;
+    t.conditions = {{keys::job(id), entry.version}};
+    record.cancelled = true;
+    t.changes = {{keys::job(id), wire::stored(record), 0}};
+    state_.txn(std::move(t), state::Rank::write, [this, id, reply, tries](state::Committed c) {
+        using S = state::Committed::Status;
+        if (c.status == S::committed) {
+            around_.cancelled(id, c.revision);
+            return reply(status(200, {id, JobState::cancelled, {}, {}}));
+        }
+        if (c.status == S::refused) return reply(later());
+        cancel(id, reply, tries + 1);
+    });
+}
 
 }  // namespace coralhitch::api
--- a/src/api/users.hpp
+++ b/src/api/users.hpp
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "api/live_jobs.hpp"
 #include "config/settings.hpp"
 #include "http/message.hpp"
 #include "loop/timers.hpp"
@@ -40,16 +41,18 @@
     void submit(const std::string& body, http::Reply reply);
     void query(const std::string& id, http::Reply reply);
     void cancel(const std::string& id, http::Reply reply, int tries = 0);
+    LiveJobs& live_jobs() { return live_; }
 
   private:
     struct Known {
         bool ok = false;  // false: the state service did not answer
-        std::optional<wire::JobRecord> live;
-        std::uint64_t version = 0;
+        std::optional<LiveJobs::Live> live;
         std::optional<wire::FinalRecord> final;
         bool unknown() const { return ok && !live && !final; }
     };
     void look_up(const std::string& id, std::function<void(Known)> done);
+    void read_final(const std::string& id, std::function<void(Known)> done);
+    void store_cancelled(const std::string& id, const wire::Entry& entry, http::Reply reply, int tries);
     void answer_known(const std::string& id, const Known& k, bool with_counts, http::Reply reply);
     void refuse_unless_known(const std::optional<std::string>& id, http::Response refusal, http::Reply reply);
     void store(wire::Job job, http::Reply reply);
@@ -58,6 +61,7 @@
     state::Client& state_;
     const config::Settings& settings_;
     Surroundings& around_;
+    LiveJobs live_;
     // Final states never change, so they may be told from memory.
     std::unordered_map<std::string, wire::FinalRecord> finals_;
 };
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -45,7 +45,8 @@
 }
 
 void Controller::start() {
-    election_.start({[this](std::uint64_t v) { won(v); }, [this] { lost(); }});
+    election_.start(
+        {[this](std::uint64_t v) { won(v); }, [this] { lost(); }, [this] { return hears_less(); }});
     learn_types();
     ping_peers();
     check_state();
@@ -83,6 +84,13 @@
     }
     return most;
 }
+// Whether another controller, which could lead, hears clearly more machines than this one.
+bool Controller::hears_less() const {
+    std::size_t most = 0;
+    for (auto& [label, p] : peers_)
+        if (fresh(p) && p.last.state_ok) most = std::max(most, p.last.workers.size());
+    return most > 2 * heard_.size();
+}
 bool Controller::give_way() {
     if (last_resigned_ >= 0 && timers_.now() - last_resigned_ < settings_.lease_s * resign_leases)
         return false;
@@ -108,6 +116,7 @@
 }
 void Controller::check_state() {
     state_.get(state::keys::leader, state::Rank::lease, [this](state::Found f) { state_seen_ |= f.ok; });
+    users_.live_jobs().keep_up();
     timers_.after(settings_.report_s * state_check_reports, [this] { check_state(); });
 }
 
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -49,6 +49,7 @@
     wire::PeerPing own_ping();
     bool fresh(const PeerState& p) const;
     std::optional<std::size_t> heard_elsewhere(const std::set<std::string>& machines) const;
+    bool hears_less() const;
     bool give_way();
     bool state_ok() const;
     void learn_types();
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -155,7 +155,7 @@
                    std::function<void(Watched)> done) {
     auto wait_ms = static_cast<std::uint64_t>(wait_s * 1000);
     submit(Rank::lease, {{"GET", wire::paths::watch(prefix, since, wait_ms), {}},
-                         wait_s + timeout() * 2,
+                         wait_s > 0 ? wait_s + timeout() * 2 : timeout() / 2,
                          0,
                          0,
                          [done](std::optional<http::Response> r) {
--- a/src/state/client.hpp
+++ b/src/state/client.hpp
@@ -52,6 +52,7 @@
     void get(const std::string& key, Rank rank, std::function<void(Found)> done);
     void list(const std::string& prefix, Rank rank, std::function<void(Listed)> done);
     void txn(wire::Txn t, Rank rank, std::function<void(Committed)> done);
+    // Changes since a revision; waits for one, unless `wait_s` is 0.
     void watch(const std::string& prefix, std::uint64_t since, double wait_s,
                std::function<void(Watched)> done);
     void create_lease(double ttl_s, std::function<void(LeaseAnswer)> done);
--- a/src/state/election.cpp
+++ b/src/state/election.cpp
@@ -9,6 +9,7 @@
 // A margin for the time between a check of the clock and the act that follows it.
 constexpr double margin_ratio = 1.0 / 20;
 constexpr double renewals_per_ttl = 4;
+constexpr double defer_ttls = 1;
 }  // namespace
 
 Election::Election(loop::Timers& timers, Client& state, const config::Settings& settings,
@@ -56,8 +57,15 @@
         if (!f.entry) {
             leader_.clear();
             if (timers_.now() < paused_until_) return retry_look();
+            // One that is cut off from the workers would win as easily as one that hears them, and each
+            // leadership that comes to nothing costs their leases seconds. Only for a bounded time: whom it
+            // defers to may not be able to lead.
+            if (vacant_since_ < 0) vacant_since_ = timers_.now();
+            if (events_.defers && timers_.now() - vacant_since_ < ttl_ * defer_ttls && events_.defers())
+                return retry_look();
             return campaign();
         }
+        vacant_since_ = -1;
         saw(*f.entry);
         try {
             auto r = wire::parse_leader_record(f.entry->value);
@@ -136,6 +144,7 @@
 void Election::win(std::uint64_t version, LeaseAnswer lease) {
     role_ = Role::leading;
     version_ = version;
+    vacant_since_ = -1;
     lease_ = lease.id;
     authority_until_ = usable(lease.sent);
     leader_ = settings_.label;
--- a/src/state/election.hpp
+++ b/src/state/election.hpp
@@ -15,6 +15,8 @@
     struct Events {
         std::function<void(std::uint64_t version)> won;
         std::function<void()> lost;
+        // Whether another controller should lead rather than this one, as far as is known; may be empty.
+        std::function<bool()> defers = {};
     };
     Election(loop::Timers& timers, Client& state, const config::Settings& settings, std::uint64_t incarnation,
              std::uint64_t seed);
@@ -57,6 +59,7 @@
     Events events_;
     Role role_ = Role::following;
     double ttl_, authority_until_ = 0, paused_until_ = 0;
+    double vacant_since_ = -1;  // when the key was first found missing
     std::uint64_t version_ = 0, lease_ = 0, round_ = 0;
     std::string leader_;
     std::uint64_t leader_version_ = 0;
--- a/src/wire/protocol.cpp
+++ b/src/wire/protocol.cpp
@@ -447,6 +447,9 @@
     json j = parse_object(v);
     return {job_of(need(j, "job")), amount(j, "submitted"), flag(j, "cancelled")};
 }
+bool stored_cancelled(std::string_view v) {
+    return flag(parse_object(v), "cancelled");
+}
 FinalRecord parse_final_record(std::string_view v) {
     json j = parse_object(v);
     return {named(job_state_names, text(j, "state"), "state"), static_cast<std::uint32_t>(count(j, "tasks"))};
--- a/src/wire/protocol.hpp
+++ b/src/wire/protocol.hpp
@@ -116,6 +116,7 @@
 std::string stored_bits(const std::vector<bool>& bits);
 std::string stored_types(std::span<const MachineType> types);
 JobRecord parse_job_record(std::string_view v);
+bool stored_cancelled(std::string_view v);  // of a job record
 FinalRecord parse_final_record(std::string_view v);
 MachineRecord parse_machine_record(std::string_view v);  // of the layout before there were pages
 MachinePage parse_machine_page(std::string_view v);
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -148,6 +148,17 @@
         EXPECT_EQ(b.election.holding(), lost == 0);
     }
 }
+// A controller that is cut off from the workers leaves leadership to one that hears them, but not for ever:
+// that one may be unable to lead.
+TEST(Election, DefersForABoundedTime) {
+    Bench b;
+    bool defer = true;
+    b.election.start({[&](std::uint64_t) { ++b.won; }, [] {}, [&] { return defer; }});
+    b.timers.run_until(b.election.ttl() * 0.9);
+    EXPECT_EQ(b.won, 0);
+    b.timers.run_until(b.election.ttl() * 1.5);
+    EXPECT_EQ(b.won, 1);
+}
 TEST(Election, EndsTheLeaseOfItsOwnEarlierProcess) {
     Bench b;
     b.held_by("berth-0");
