--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -110,6 +110,7 @@
     bool all_settled() const;
 
     // jobs
+    void store_soon();
     void store_progress();
     void finish(const std::string& id, jobs::Entry& e, wire::JobState state);
     void store_blocks(const std::string& id, jobs::Entry& e);
@@ -158,7 +159,8 @@
     std::set<std::string> keys_to_drop_;
     bool dropping_ = false, listing_ = false;
     int removing_ = 0;
-    bool planning_ = false, plan_wanted_ = false;
+    bool planning_ = false, plan_wanted_ = false, store_wanted_ = false;
+    double plan_took_ = 0;
     double last_plan_ = -1, last_capacity_ = -1, last_list_ = -1, remove_retry_ = 0;
     bool listed_once_ = false;
     std::vector<double> zone_heard_;  // by zone: when a machine there was last heard, or known to be up
--- a/src/daemon/leader_jobs.cpp
+++ b/src/daemon/leader_jobs.cpp
@@ -10,16 +10,30 @@
 using state::Rank;
 using wire::JobState;
 
+namespace {
+constexpr double store_reports = 1.0 / 60;
+}  // namespace
+
+// Ends come by the hundred: stored with each report, a walk over all jobs took a fifth of the processor's
+// share while a thousand jobs were live.
+void Leader::store_soon() {
+    if (std::exchange(store_wanted_, true)) return;
+    c_.timers.after(c_.settings.report_s * store_reports, guarded([this] {
+                        store_wanted_ = false;
+                        store_progress();
+                    }));
+}
+
 void Leader::store_progress() {
     if (!authority()) return;
+    bool settled = all_settled();
     std::vector<std::pair<std::string, JobState>> over;
     std::vector<std::string> dirty;
     for (auto& [id, e] : table_.all()) {
         if (e.writing || now() < e.retry_at) continue;
         if (e.cancelled) {
             // Its key stays until its tasks are proven gone: a later leader must know to stop them.
-            if (e.active.empty() && e.strays == 0 && all_settled())
-                over.emplace_back(id, JobState::cancelled);
+            if (e.active.empty() && e.strays == 0 && settled) over.emplace_back(id, JobState::cancelled);
         } else if (e.all_done()) {
             over.emplace_back(id, JobState::done);
         } else if (!e.unstored.empty()) {
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -79,7 +79,7 @@
     settled_check();
     if (heard.ends.empty() && heard.found.empty()) return heard;
     flush_all();
-    if (loaded_) store_progress();
+    if (loaded_) store_soon();
     plan_soon();
     return heard;
 }
--- a/src/daemon/leader_plans.cpp
+++ b/src/daemon/leader_plans.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 constexpr double plan_gap_reports = 1.0 / 12;
+constexpr double plan_rest = 3;  // from one plan to the next, in times of what the last one took
 constexpr double capacity_reports = 1.0 / 2;
 constexpr double refused_reports = 3;
 constexpr std::size_t tasks_per_plan = 64;
@@ -20,7 +21,10 @@
 void Leader::plan_soon() {
     if (plan_wanted_ || stopped_) return;
     plan_wanted_ = true;
-    double gap = c_.settings.report_s * plan_gap_reports;
+    // A plan that takes long leaves the processor to the loop for as long again and more: with thousands of
+    // tasks waiting, plan upon plan kept reports waiting until machines that were well counted as silent.
+    double rest = std::min(plan_took_ * plan_rest, c_.settings.report_s);
+    double gap = std::max(c_.settings.report_s * plan_gap_reports, rest);
     double wait = std::max(0.0, last_plan_ + gap - now());
     c_.timers.after(wait, guarded([this] {
                         plan_wanted_ = false;
@@ -73,9 +77,14 @@
 }
 std::map<std::string, wire::Room> Leader::team_used() {
     std::map<std::string, wire::Room> used;
+    std::unordered_map<const wire::Job*, wire::Room*> team;  // a job's team, without its name for each task
     for (auto& [id, m] : picture_.machines())
-        for (auto& [task, i] : m.tasks)
-            if (i.spec) used[i.spec->team] += i.spec->need;
+        for (auto& [task, i] : m.tasks) {
+            if (!i.spec) continue;
+            auto& sum = team[i.spec.get()];
+            if (!sum) sum = &used[i.spec->team];
+            *sum += i.spec->need;
+        }
     return used;
 }
 
@@ -229,8 +238,9 @@
 }
 
 void Leader::apply(Plan& p) {
+    plan_took_ = now() - last_plan_;
     if (!authority()) return;
-    c_.metrics.plan_took(now() - last_plan_);
+    c_.metrics.plan_took(plan_took_);
     if (spdlog::should_log(spdlog::level::debug)) {
         std::array<std::size_t, 3> missing{};
         for (auto& u : p.out.unplaced)
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -217,12 +217,14 @@
                            [&](auto& f) { return need.holds(f.need) && covers(f.pools, pools); });
     }
     void note_full(const JobView& j, const PoolSet& pools) {
-        if (j.failed_on.empty()) full_.push_back({j.spec->need, pools});
+        // What low priority leaves alone is there for others.
+        if (j.failed_on.empty() && j.spec->priority != Priority::low) full_.push_back({j.spec->need, pools});
     }
 
     void take(std::size_t j, std::uint32_t task, std::size_t m) {
         auto& job = in_.jobs[j];
         auto& v = in_.machines[m];
+        if (breaks_up(*job.spec, m)) --whole_left_;
         v.free -= job.spec->need;
         v.soon -= job.spec->need;
         ++v.tasks;
@@ -245,6 +247,7 @@
         --job.zones[zone(m)];
         --job.active;
         in_.team_used[job.spec->team] -= job.spec->need;
+        if (breaks_up(*job.spec, m)) ++whole_left_;
         --out_.counts.tasks;
     }
 
@@ -279,12 +282,15 @@
         bool room = !known_full(spec.need, pools);
         if (room)
             for (auto m : with_room(job, pools))
-                if (!near_only || near(job, m) <= Near::coming) sets[tier(job, m)].push_back(m);
+                if ((!near_only || near(job, m) <= Near::coming) && !kept_whole(spec, m))
+                    sets[tier(job, m)].push_back(m);
         std::size_t missing = 0, placed = 0;
         for (std::size_t k = 0; k < job.waiting.size(); ++k) {
             if (!team_ok(spec, 1)) break;
             std::optional<std::size_t> m;
-            if (room) m = spec_big(spec, pools) ? fullest(job, sets) : two_choices(sets);
+            if (room) do {  // an earlier task may have taken the last whole machine that was to spare
+                    m = spec_big(spec, pools) ? fullest(job, sets) : two_choices(sets);
+                } while (m && kept_whole(spec, *m));
             if (m) {
                 take(j, job.waiting[k], *m);
                 ++placed;
@@ -313,12 +319,13 @@
         if (missing) out_.unplaced.push_back({j, missing});
     }
 
-    // The largest task of live jobs that goes to the fullest machine rather than to a drawn one.
+    // The largest task of live jobs, those of low priority apart, that goes to the fullest machine rather
+    // than to a drawn one.
     void largest() {
         std::vector<bool> used(in_.pools.size());
         for (auto& m : in_.machines) used[m.pool] = true;
         for (auto& j : in_.jobs) {
-            if (j.open == 0) continue;
+            if (j.open == 0 || j.spec->priority == Priority::low) continue;
             for (std::size_t p = 0; p < used.size(); ++p) {
                 if (!used[p]) continue;
                 double s = share(j.spec->need, in_.pools[p].total);
@@ -328,6 +335,14 @@
                 largest_ = j.spec->need;
             }
         }
+        double usable = 0;
+        for (auto& m : in_.machines) {
+            if (!m.usable) continue;
+            ++usable;
+            if (m.free.holds(largest_)) ++whole_left_;
+        }
+        double ratio = settings_.op.reserve_ratio;
+        whole_kept_ = usable * ratio / (1 + ratio);
     }
     // Whether the task would take the room in which such a task still fits.
     bool breaks_up(const wire::Job& spec, std::size_t m) const {
@@ -337,6 +352,12 @@
         room -= spec.need;
         return !room.holds(largest_);
     }
+    // Low priority does not take the last whole machines: they are what higher priorities start on at once.
+    // With a guest's thousands of small tasks on every machine, each gang waited for a place to be emptied
+    // and for its image, where it found both at hand before.
+    bool kept_whole(const wire::Job& spec, std::size_t m) const {
+        return spec.priority == Priority::low && whole_left_ <= whole_kept_ && breaks_up(spec, m);
+    }
     bool spec_big(const wire::Job& spec, const PoolSet& pools) const {
         for (std::size_t p = 0; p < pools.size(); ++p)
             if (pools[p] && !by_pool_[p].empty() && share(spec.need, in_.pools[p].total) > whole_machine)
@@ -492,6 +513,7 @@
     // The cheapest instances to stop on a machine so that `need` has room there.
     std::optional<Choice> victims_on(std::size_t j, std::size_t m) const {
         auto& spec = *in_.jobs[j].spec;
+        if (kept_whole(spec, m)) return std::nullopt;
         Room room = in_.machines[m].soon;
         room -= in_.machines[m].reserved;
         Choice c;
@@ -598,7 +620,7 @@
     std::vector<bool> guaranteed_, stopping_;
     std::vector<int> lowest_rank_;  // of what is on a machine
     Room largest_;
-    double largest_share_ = 0;
+    double largest_share_ = 0, whole_left_ = 0, whole_kept_ = 0;  // whole: with room for `largest_`
     std::vector<Machines> by_pool_;
     std::vector<std::vector<std::size_t>> by_machine_, by_job_;
     struct Stuck {
