--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -57,6 +57,15 @@
     return s;
 }
 
+// The smallest share of a machine that the room is: what can still be used of it by tasks of any shape.
+double least(const Room& room, const Room& total) {
+    double s = 1;
+    if (total.cpus > 0) s = std::min(s, room.cpus / total.cpus);
+    if (total.gpus > 0) s = std::min(s, room.gpus / total.gpus);
+    if (total.memory_gb > 0) s = std::min(s, room.memory_gb / total.memory_gb);
+    return std::max(0.0, s);
+}
+
 constexpr double whole_machine = 0.5;    // a task that takes more than this share of a machine is packed
 constexpr double patience_reports = 20;  // so long a job lets others whose image is at hand go first
 constexpr double small_replica = 0.25;   // replicas that take at most this share go together
@@ -224,7 +233,7 @@
     void take(std::size_t j, std::uint32_t task, std::size_t m) {
         auto& job = in_.jobs[j];
         auto& v = in_.machines[m];
-        if (breaks_up(*job.spec, m)) --whole_left_;
+        spare_ -= taken_of_spare(*job.spec, m);
         v.free -= job.spec->need;
         v.soon -= job.spec->need;
         ++v.tasks;
@@ -247,7 +256,7 @@
         --job.zones[zone(m)];
         --job.active;
         in_.team_used[job.spec->team] -= job.spec->need;
-        if (breaks_up(*job.spec, m)) ++whole_left_;
+        spare_ += taken_of_spare(*job.spec, m);
         --out_.counts.tasks;
     }
 
@@ -282,15 +291,15 @@
         bool room = !known_full(spec.need, pools);
         if (room)
             for (auto m : with_room(job, pools))
-                if ((!near_only || near(job, m) <= Near::coming) && !kept_whole(spec, m))
+                if ((!near_only || near(job, m) <= Near::coming) && !kept_spare(spec, m))
                     sets[tier(job, m)].push_back(m);
         std::size_t missing = 0, placed = 0;
         for (std::size_t k = 0; k < job.waiting.size(); ++k) {
             if (!team_ok(spec, 1)) break;
             std::optional<std::size_t> m;
-            if (room) do {  // an earlier task may have taken the last whole machine that was to spare
+            if (room) do {  // an earlier task may have taken the last room that was to spare
                     m = spec_big(spec, pools) ? fullest(job, sets) : two_choices(sets);
-                } while (m && kept_whole(spec, *m));
+                } while (m && kept_spare(spec, *m));
             if (m) {
                 take(j, job.waiting[k], *m);
                 ++placed;
@@ -336,13 +345,13 @@
             }
         }
         double usable = 0;
-        for (auto& m : in_.machines) {
-            if (!m.usable) continue;
+        for (std::size_t m = 0; m < in_.machines.size(); ++m) {
+            if (!in_.machines[m].usable) continue;
             ++usable;
-            if (m.free.holds(largest_)) ++whole_left_;
+            spare_ += least(in_.machines[m].free, total(m));
         }
         double ratio = settings_.op.reserve_ratio;
-        whole_kept_ = usable * ratio / (1 + ratio);
+        kept_ = usable * ratio / (1 + ratio);
     }
     // Whether the task would take the room in which such a task still fits.
     bool breaks_up(const wire::Job& spec, std::size_t m) const {
@@ -352,11 +361,22 @@
         room -= spec.need;
         return !room.holds(largest_);
     }
-    // Low priority does not take the last whole machines: they are what higher priorities start on at once.
-    // With a guest's thousands of small tasks on every machine, each gang waited for a place to be emptied
-    // and for its image, where it found both at hand before.
-    bool kept_whole(const wire::Job& spec, std::size_t m) const {
-        return spec.priority == Priority::low && whole_left_ <= whole_kept_ && breaks_up(spec, m);
+    // What a task takes of the room that others could use: nothing, if it only needs what is left over there,
+    // as processors are on a machine whose GPUs are all in use.
+    double taken_of_spare(const wire::Job& spec, std::size_t m) const {
+        auto room = in_.machines[m].free;
+        double before = least(room, total(m));
+        room -= spec.need;
+        return before - least(room, total(m));
+    }
+    // Low priority lives on what is left over, and takes none of the last spare room: on that, higher
+    // priorities start at once. With a guest's thousands of small tasks on every machine hundreds of GPUs lay
+    // idle, and each gang waited for a place to be emptied and for its image.
+    bool kept_spare(const wire::Job& spec, std::size_t m) const {
+        if (spec.priority != Priority::low) return false;
+        constexpr double nothing = 1e-9;
+        double taken = taken_of_spare(spec, m);
+        return taken > nothing && spare_ - taken < kept_;
     }
     bool spec_big(const wire::Job& spec, const PoolSet& pools) const {
         for (std::size_t p = 0; p < pools.size(); ++p)
@@ -513,7 +533,7 @@
     // The cheapest instances to stop on a machine so that `need` has room there.
     std::optional<Choice> victims_on(std::size_t j, std::size_t m) const {
         auto& spec = *in_.jobs[j].spec;
-        if (kept_whole(spec, m)) return std::nullopt;
+        if (kept_spare(spec, m)) return std::nullopt;
         Room room = in_.machines[m].soon;
         room -= in_.machines[m].reserved;
         Choice c;
@@ -620,7 +640,8 @@
     std::vector<bool> guaranteed_, stopping_;
     std::vector<int> lowest_rank_;  // of what is on a machine
     Room largest_;
-    double largest_share_ = 0, whole_left_ = 0, whole_kept_ = 0;  // whole: with room for `largest_`
+    double largest_share_ = 0;
+    double spare_ = 0, kept_ = 0;  // in machines: free room, and how much of it low priority leaves alone
     std::vector<Machines> by_pool_;
     std::vector<std::vector<std::size_t>> by_machine_, by_job_;
     struct Stuck {
