--- a/tests/standin.cpp
+++ b/tests/standin.cpp
@@ -33,12 +33,16 @@
 }
 loop::TimerId HostTimers::after(double s, loop::Task task) {
     auto id = next_++;
-    world_.at(world_.now() + std::max(0.0, s),
-              [alive = alive_, cancelled = cancelled_, id, task = std::move(task)] {
-                  if (*alive && !cancelled->erase(id)) task();
-              });
+    fire(id, world_.now() + std::max(0.0, s), std::move(task));
     return id;
 }
+void HostTimers::fire(loop::TimerId id, double due, loop::Task task) {
+    world_.at(due, [this, alive = alive_, cancelled = cancelled_, id, task = std::move(task)] {
+        if (!*alive || cancelled->erase(id)) return;
+        if (still_until() > now()) return fire(id, still_until(), task);
+        task();
+    });
+}
 
 World::World(Options options) : options_(options), random_(options.seed) {
     for (std::size_t k = 0; k < 3; ++k) {
@@ -129,6 +133,9 @@
     graveyard_.push_back(std::move(dead));
     at(now_ + back_after, [this, k] { boot(k); });
 }
+void World::stand_still(std::size_t k, double for_s) {
+    if (nodes_[k].up) nodes_[k].timers->stand_still(now_ + for_s);
+}
 int World::leader() const {
     for (std::size_t k = 0; k < nodes_.size(); ++k)
         if (nodes_[k].up && nodes_[k].controller->leads()) return static_cast<int>(k);
@@ -165,8 +172,14 @@
         double until = 0;
         if (is_cut(host(to), host(sender), hold, until)) return;
         at(now_ + latency(), [this, end, sender, answer = std::move(answer)] {
-            for (auto& n : nodes_)
-                if (n.settings.listen == sender && !n.up) return;
+            for (auto& n : nodes_) {
+                if (n.settings.listen != sender) continue;
+                if (!n.up) return;
+                if (n.timers->still_until() > now_) {
+                    n.timers->after(0, [end, answer] { end(answer); });
+                    return;
+                }
+            }
             end(answer);
         });
     };
@@ -186,6 +199,10 @@
     for (auto& n : nodes_) {
         if (host(n.settings.listen) != host(to)) continue;
         if (!n.up) return;
+        if (n.timers->still_until() > now_) {
+            n.timers->after(0, [this, from, to, r, reply] { deliver(from, to, r, reply); });
+            return;
+        }
         if (to == n.settings.peer_listen) return n.controller->serve_peer(std::move(r), std::move(reply));
         return n.controller->serve(std::move(r), std::move(reply));
     }
@@ -589,11 +606,14 @@
         if (!std::exchange(*answered, true)) again();
     });
     if (!node.up) return;
-    node.controller->serve({method, path, body}, [=, this](http::Response r) {
-        at(now_ + latency(), [=, this] {
-            if (std::exchange(*answered, true)) return;
-            if (r.status == 503) return again();
-            done(r);
+    // What comes while the controller stands still is read when it goes on.
+    node.timers->after(0, [=, this, &node] {
+        node.controller->serve({method, path, body}, [=, this](http::Response r) {
+            at(now_ + latency(), [=, this] {
+                if (std::exchange(*answered, true)) return;
+                if (r.status == 503) return again();
+                done(r);
+            });
         });
     });
 }
--- a/tests/standin.hpp
+++ b/tests/standin.hpp
@@ -25,11 +25,16 @@
     loop::TimerId after(double s, loop::Task task) override;
     void cancel(loop::TimerId id) override { cancelled_->insert(id); }
     void kill() { *alive_ = false; }
+    // Nothing that is due happens until then; it happens all at once afterwards.
+    void stand_still(double until) { *still_until_ = until; }
+    double still_until() const { return *still_until_; }
 
   private:
     World& world_;
     loop::TimerId next_ = 1;
+    void fire(loop::TimerId id, double due, loop::Task task);
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    std::shared_ptr<double> still_until_ = std::make_shared<double>(0);
     std::shared_ptr<std::set<loop::TimerId>> cancelled_ = std::make_shared<std::set<loop::TimerId>>();
 };
 
@@ -101,6 +106,7 @@
     void refuse_state(std::size_t node, double for_s) { refused_until_[addr_of(node)] = now_ + for_s; }
     void die(std::size_t k);
     void hang(std::size_t k, double for_s);
+    void stand_still(std::size_t node, double for_s);
     int leader() const;
 
     // Users
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -69,12 +69,25 @@
          w.at(44, [&w] { w.hang(0, 15); });
          w.at(50, [&w] { w.hang(4, 40); });
      }},
+    {"leader stands still, its clocks run on, twice",
+     [](World& w, std::mt19937_64&) {
+         w.at(40, [&w] { w.stand_still(lead(w), 12); });
+         w.at(60, [&w] { w.stand_still(lead(w), 30); });
+     }},
+    {"leader stands still through a state outage, another controller crashes",
+     [](World& w, std::mt19937_64&) {
+         w.at(40, [&w] {
+             w.state_down(14);
+             w.stand_still(lead(w), 15);
+             w.crash((lead(w) + 1) % 3, 6);
+         });
+     }},
     {"a machine fails every task", [](World& w, std::mt19937_64&) { w.workers[0]->sick = true; }},
     {"anything, at random times",
      [](World& w, std::mt19937_64& random) {
          for (int k = 0; k < 8; ++k) {
              double t = std::uniform_real_distribution<double>(20, 110)(random);
-             auto what = random() % 6, which = random() % 8;
+             auto what = random() % 7, which = random() % 8;
              double s = std::uniform_real_distribution<double>(2, 30)(random);
              w.at(t, [&w, what, which, s] {
                  switch (what) {
@@ -88,6 +101,8 @@
                          return w.state_down(s / 2);
                      case 4:
                          return w.cloud_down(s);
+                     case 5:
+                         return w.stand_still(which % 3, s);
                      default:
                          return w.cut("10.0.0." + std::to_string(which % 3 + 1),
                                       which % 2 ? "10.1." : "10.2.0.1", s, true);
