--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -27,7 +27,9 @@
 // How long a worker takes to turn to another controller: its timeout, a pause and a report.
 constexpr double turn_reports = 2;
 constexpr double sick_reports = 20;
-constexpr double overdue_boots = 3;
+// A boot takes up to one and a half times the nominal time; overdue is twice what the slowest lately took, and at
+// most this many nominal times.
+constexpr double slow_boot = 1.5, overdue_times = 2, most_boots = 12, boots_forgotten = 0.95;
 constexpr double dark_reports = 2, dark_leases = 4;
 }  // namespace
 
@@ -60,6 +62,8 @@
     fleet::Heard heard;
     {
         std::lock_guard lock(mutex_);
+        auto* booting = picture_.find(r.machine);
+        if (booting && booting->life == Machine::Life::booting) note_boot(*booting);
         heard = picture_.hear(r, via, now(), [this](const std::string& id) -> fleet::Spec {
             auto* e = table_.find(id);
             return e ? e->spec : nullptr;
@@ -142,6 +146,7 @@
             e->mark_done(end.task.index);
         }
         e->failures = 0;
+        e->not_before = 0;
         if (auto* m = picture_.find(end.machine)) m->error_jobs.clear();
         if (e->is_done(end.task.index) && !e->unstored.contains(end.task.index))
             picture_.stored(end.task.job, {end.task.index});
@@ -173,16 +178,16 @@
     e.failed_on.insert(end.machine);
     // The first failure is taken for the machine's: the task goes elsewhere at once. A job that fails on
     // several machines gets pauses that grow, up to a bound, and holds nobody else up.
-    constexpr int patience = 2, most_doublings = 5;
-    if (e.failures > patience) {
-        int doublings = std::min(e.failures - patience - 1, most_doublings);
+    constexpr int most_doublings = 5;
+    if (e.on_probation()) {
+        int doublings = std::min(e.failures - jobs::Entry::patience - 1, most_doublings);
         e.not_before = now() + c_.settings.report_s * std::pow(2.0, doublings);
         if (e.failed_on.size() > 8) e.failed_on.clear();
     }
     auto* m = picture_.find(end.machine);
     if (!m) return;
     m->error_jobs.insert(end.task.job);
-    if (e.failures > patience) return;  // says more about the job than about the machine
+    if (e.on_probation()) return;  // says more about the job than about the machine
     if (m->error_jobs.size() < 2) {
         m->avoid_until = now() + c_.settings.report_s * 2;
         return;
@@ -311,6 +316,21 @@
     return silent > c_.settings.report_s * dark_reports && silent < c_.settings.lease_s * dark_leases;
 }
 
+double Leader::boot_s(const Machine& m) const {
+    for (auto& type : c_.types)
+        if (type.name == m.type) return type.boot_s;
+    return 0;
+}
+// While new machines come up late, giving each up after the usual time and renting another got none: of those
+// deleted most would have been up a moment later.
+void Leader::note_boot(const Machine& m) {
+    double boot = boot_s(m);
+    if (boot > 0) slowest_boot_ = std::max((now() - m.created) / boot, slowest_boot_ * boots_forgotten);
+}
+double Leader::overdue_boots() const {
+    return std::min(most_boots, overdue_times * std::max(slow_boot, slowest_boot_));
+}
+
 void Leader::check_machines() {
     const auto& s = c_.settings;
     double t = now();
@@ -373,11 +393,9 @@
     const auto& s = c_.settings;
     double t = now(), silent = t - m.last_heard;
     if (m.life == Machine::Life::booting) {
-        double boot = 0;
-        for (auto& type : c_.types)
-            if (type.name == m.type) boot = type.boot_s;
+        double boot = boot_s(m);
         // In a zone that is cut off it may be up, and is needed as soon as the cut ends.
-        if (fence && boot > 0 && t - m.created > boot * overdue_boots && !dark(zone_of(m))) {
+        if (fence && boot > 0 && t - m.created > boot * overdue_boots() && !dark(zone_of(m))) {
             std::lock_guard lock(mutex_);
             condemn(m, "does not come up");
         }
--- a/src/daemon/leader_plans.cpp
+++ b/src/daemon/leader_plans.cpp
@@ -102,7 +102,8 @@
         j.spec = e.spec;
         j.submitted = e.submitted;
         j.startable = !e.cancelled && !e.all_done() && now() >= e.not_before && e.strays == 0;
-        if (j.startable) j.waiting = e.waiting(e.spec->kind == Kind::gang ? e.spec->tasks : tasks_per_plan);
+        std::size_t most = e.spec->kind == Kind::gang ? e.spec->tasks : e.on_probation() ? 1 : tasks_per_plan;
+        if (j.startable && !(e.on_probation() && !e.active.empty())) j.waiting = e.waiting(most);
         j.open = e.done.size() - e.done_count;
         j.zones = zones_of(e);
         j.active = static_cast<int>(e.active.size());
--- a/src/jobs/table.hpp
+++ b/src/jobs/table.hpp
@@ -33,9 +33,13 @@
     bool writing = false;
     double retry_at = 0;    // storing is tried again then
     double not_before = 0;  // pause after failures
-    int failures = 0;
+    int failures = 0;       // since a task of it last completed
     std::set<std::string> failed_on;
 
+    // A job submitted with a mistake fails wherever it runs. After some failures in a row it is tried one
+    // task or gang at a time; before that, each pause ended with all its tasks on machines again.
+    static constexpr int patience = 2;
+    bool on_probation() const { return failures > patience; }
     bool all_done() const { return done_count == done.size(); }
     bool is_done(std::uint32_t i) const { return done[i]; }
     bool mark_done(std::uint32_t i);
--- a/tests/standin.cpp
+++ b/tests/standin.cpp
@@ -556,7 +556,7 @@
         auto it = w.tasks.find(task);
         if (w.dead || it == w.tasks.end() || it->second.attempt != attempt || it->second.status != "fetching")
             return;
-        if (w.sick) return finish(w, task, attempt, "error");
+        if (w.sick || jobs[id].spec.value("mistake", false)) return finish(w, task, attempt, "error");
         bool gang = jobs[id].spec["shape"] == "gang";
         it->second.status = gang ? "waiting" : "running";
         if (gang) {
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -195,6 +195,23 @@
     }
 }
 
+// A job submitted with a mistake costs its own tasks once, and a probe now and then; others are not held up.
+TEST(Takeover, AJobThatFailsEverywhereIsTriedOneTaskAtATime) {
+    spdlog::set_level(spdlog::level::off);
+    World w({});
+    w.at(2, [&w] {
+        w.submit("j-1", "batch", 40, 5, {{"mistake", true}});
+        w.submit("j-2", "batch", 40, 5);
+    });
+    w.run_until(150);
+    EXPECT_LT(w.starts, 40u + 40u + 12u);
+    EXPECT_TRUE(w.jobs["j-2"].done);
+    w.cancel("j-1");
+    w.run_until(160);
+    EXPECT_TRUE(w.jobs["j-1"].cancelled);
+    for (auto& b : w.broken) ADD_FAILURE() << b;
+}
+
 // The checker itself: a command that breaks a rule on purpose must be seen.
 TEST(Checker, SeesATaskStartedTwice) {
     spdlog::set_level(spdlog::level::off);
