--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -27,9 +27,7 @@
 // How long a worker takes to turn to another controller: its timeout, a pause and a report.
 constexpr double turn_reports = 2;
 constexpr double sick_reports = 20;
-// A boot takes up to one and a half times the nominal time; overdue is twice what the slowest lately took, and at
-// most this many nominal times.
-constexpr double slow_boot = 1.5, overdue_times = 2, most_boots = 12, boots_forgotten = 0.95;
+constexpr double overdue_boots = 3;
 constexpr double dark_reports = 2, dark_leases = 4;
 }  // namespace
 
@@ -62,8 +60,6 @@
     fleet::Heard heard;
     {
         std::lock_guard lock(mutex_);
-        auto* booting = picture_.find(r.machine);
-        if (booting && booting->life == Machine::Life::booting) note_boot(*booting);
         heard = picture_.hear(r, via, now(), [this](const std::string& id) -> fleet::Spec {
             auto* e = table_.find(id);
             return e ? e->spec : nullptr;
@@ -316,21 +312,6 @@
     return silent > c_.settings.report_s * dark_reports && silent < c_.settings.lease_s * dark_leases;
 }
 
-double Leader::boot_s(const Machine& m) const {
-    for (auto& type : c_.types)
-        if (type.name == m.type) return type.boot_s;
-    return 0;
-}
-// While new machines come up late, giving each up after the usual time and renting another got none: of those
-// deleted most would have been up a moment later.
-void Leader::note_boot(const Machine& m) {
-    double boot = boot_s(m);
-    if (boot > 0) slowest_boot_ = std::max((now() - m.created) / boot, slowest_boot_ * boots_forgotten);
-}
-double Leader::overdue_boots() const {
-    return std::min(most_boots, overdue_times * std::max(slow_boot, slowest_boot_));
-}
-
 void Leader::check_machines() {
     const auto& s = c_.settings;
     double t = now();
@@ -393,9 +374,11 @@
     const auto& s = c_.settings;
     double t = now(), silent = t - m.last_heard;
     if (m.life == Machine::Life::booting) {
-        double boot = boot_s(m);
+        double boot = 0;
+        for (auto& type : c_.types)
+            if (type.name == m.type) boot = type.boot_s;
         // In a zone that is cut off it may be up, and is needed as soon as the cut ends.
-        if (fence && boot > 0 && t - m.created > boot * overdue_boots() && !dark(zone_of(m))) {
+        if (fence && boot > 0 && t - m.created > boot * overdue_boots && !dark(zone_of(m))) {
             std::lock_guard lock(mutex_);
             condemn(m, "does not come up");
         }
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -204,7 +204,7 @@
         w.submit("j-2", "batch", 40, 5);
     });
     w.run_until(150);
-    EXPECT_LT(w.starts, 40u + 40u + 12u);
+    EXPECT_LT(w.starts, 40u + 40u + 8u);
     EXPECT_TRUE(w.jobs["j-2"].done);
     w.cancel("j-1");
     w.run_until(160);
