--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -9,6 +9,7 @@
 namespace {
 using wire::Kind;
 using wire::Priority;
+using wire::Room;
 
 config::Settings settings() {
     config::Settings s;
@@ -335,6 +336,35 @@
     ASSERT_EQ(d.starts.size(), 3u);
     for (auto& s : d.starts) EXPECT_EQ(s.machine, 2u);
 }
+// Thousands of small tasks of low priority must not stand where the GPUs of others would lie idle for want of
+// a processor, nor take the last spare room.
+TEST(Plan, LowPriorityLivesOnWhatIsLeftOver) {
+    struct Case {
+        const char* name;
+        std::vector<Room> free;
+        Priority priority;
+        std::size_t starts;
+    };
+    const Case cases[] = {
+        {"one whole machine: half of it is kept", {{6, 0, 40}, {16, 4, 64}}, Priority::low, 3},
+        {"not from others", {{6, 0, 40}, {16, 4, 64}}, Priority::normal, 5},
+        {"processors beyond what the free GPUs need", {{8, 0, 40}, {11, 1, 30}}, Priority::low, 3},
+        {"others take them all", {{8, 0, 40}, {11, 1, 30}}, Priority::normal, 4},
+        {"much spare room", {{16, 4, 64}, {16, 4, 64}, {16, 4, 64}, {16, 4, 64}}, Priority::low, 10},
+    };
+    for (auto& c : cases) {
+        Input in;
+        for (std::size_t k = 0; k < c.free.size(); ++k) {
+            in.machines.push_back(machine("m" + std::to_string(k)));
+            in.machines.back().free = c.free[k];
+        }
+        in.jobs.push_back(job("j-1", Kind::array, 10, 0));
+        edit(in.jobs[0]).need = {4, 0, 4};
+        edit(in.jobs[0]).priority = c.priority;
+        EXPECT_EQ(run(in).starts.size(), c.starts) << c.name;
+        EXPECT_LE(in.machines[0].reserved.cpus, c.priority == Priority::low ? 0 : 4) << c.name;
+    }
+}
 TEST(Plan, MachinesNotUsableOrSurplusAreLeftOut) {
     Input in;
     in.machines = {machine("m0"), machine("m1"), machine("m2")};
