--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -97,6 +97,8 @@
     void check_machines();
     void heard_from(std::size_t zone);
     bool dark(std::size_t zone) const;
+    double boot_s(const fleet::Machine& m) const;
+    void note_boot(const fleet::Machine& m);
     void condemn(fleet::Machine& m, const char* why);
     void settled_check();
     void store_machine(fleet::Machine& m);
@@ -163,6 +165,7 @@
     double plan_took_ = 0;
     double last_plan_ = -1, last_capacity_ = -1, last_list_ = -1, remove_retry_ = 0;
     bool listed_once_ = false;
+    double slowest_boot_ = 4;         // lately, in nominal boot times
     std::vector<double> zone_heard_;  // by zone: when a machine there was last heard, or known to be up
     std::deque<double> fenced_;       // when machines were fenced for silence
     loop::TimerId tick_timer_ = 0;
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -27,7 +27,10 @@
 // How long a worker takes to turn to another controller: its timeout, a pause and a report.
 constexpr double turn_reports = 2;
 constexpr double sick_reports = 20;
-constexpr double overdue_boots = 3;
+// In nominal boot times: what a machine takes at the most as a rule, and when it is given up: after half as
+// long again as the slowest lately took. Each that comes up lets an older, slower one be forgotten by so
+// much.
+constexpr double usual_boots = 2, most_boots = 8, boots_kept = 0.95, overdue_ratio = 1.5;
 constexpr double dark_reports = 2, dark_leases = 4;
 }  // namespace
 
@@ -60,6 +63,7 @@
     fleet::Heard heard;
     {
         std::lock_guard lock(mutex_);
+        if (auto* m = picture_.find(r.machine); m && m->life == Machine::Life::booting) note_boot(*m);
         heard = picture_.hear(r, via, now(), [this](const std::string& id) -> fleet::Spec {
             auto* e = table_.find(id);
             return e ? e->spec : nullptr;
@@ -312,6 +316,21 @@
     return silent > c_.settings.report_s * dark_reports && silent < c_.settings.lease_s * dark_leases;
 }
 
+double Leader::boot_s(const Machine& m) const {
+    for (auto& type : c_.types)
+        if (type.name == m.type) return type.boot_s;
+    return 0;
+}
+// At times new machines come up several times as late. Given up after the usual time each of them was deleted
+// a moment before it would have come, and another rented that was no faster: 300 machines stood for 500
+// needed. A new leader knows nothing of that yet, so it begins patiently.
+void Leader::note_boot(const Machine& m) {
+    double boot = boot_s(m);
+    if (boot <= 0) return;
+    double took = (now() - m.created) / boot;
+    slowest_boot_ = std::clamp(std::max(took, slowest_boot_ * boots_kept), usual_boots, most_boots);
+}
+
 void Leader::check_machines() {
     const auto& s = c_.settings;
     double t = now();
@@ -374,11 +393,9 @@
     const auto& s = c_.settings;
     double t = now(), silent = t - m.last_heard;
     if (m.life == Machine::Life::booting) {
-        double boot = 0;
-        for (auto& type : c_.types)
-            if (type.name == m.type) boot = type.boot_s;
+        double boot = boot_s(m);
         // In a zone that is cut off it may be up, and is needed as soon as the cut ends.
-        if (fence && boot > 0 && t - m.created > boot * overdue_boots && !dark(zone_of(m))) {
+        if (fence && boot > 0 && t - m.created > boot * slowest_boot_ * overdue_ratio && !dark(zone_of(m))) {
             std::lock_guard lock(mutex_);
             condemn(m, "does not come up");
         }
