--- a/src/api/live_jobs.cpp
+++ b/src/api/live_jobs.cpp
@@ -19,6 +19,7 @@
     : timers_(timers), state_(state), settings_(settings) {}
 
 void LiveJobs::confirm(const std::string& id, Done done) {
+    ++questions_;
     waiting_.push_back({id, std::move(done)});
     ask_soon();
 }
--- a/src/api/live_jobs.hpp
+++ b/src/api/live_jobs.hpp
@@ -33,6 +33,7 @@
     void confirm(const std::string& id, Done done);
     void keep_up();  // now and then, so that the revision does not become too old to ask from
 
+    std::uint64_t questions() const { return questions_; }  // so far
     std::uint64_t requests() const { return requests_; }
     std::size_t size() const { return jobs_.size(); }
 
@@ -52,7 +53,8 @@
     state::Client& state_;
     const config::Settings& settings_;
     std::unordered_map<std::string, Live> jobs_;
-    std::uint64_t revision_ = 0, requests_ = 0;  // revision 0: all must be read first
+    std::uint64_t revision_ = 0;  // 0: all must be read first
+    std::uint64_t questions_ = 0, requests_ = 0;
     std::vector<Question> waiting_;
     bool asking_ = false, armed_ = false;
     double last_ = -1;
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -220,12 +220,20 @@
     } else if (path == paths::health) {
         if (only("GET")) reply({healthy() ? 200 : 503, "{}"});
     } else if (path == paths::metrics) {
-        if (only("GET")) reply({200, metrics_.text(), "text/plain; version=0.0.4"});
+        if (only("GET")) reply({200, metrics_text(), "text/plain; version=0.0.4"});
     } else {
         reply({404, wire::error_body("no such path")});
     }
 }
 
+std::string Controller::metrics_text() {
+    auto& live = users_.live_jobs();
+    metrics_.gauge("questions", static_cast<double>(live.questions()));
+    metrics_.gauge("question_requests", static_cast<double>(live.requests()));
+    metrics_.gauge("live_jobs", static_cast<double>(live.size()));
+    return metrics_.text();
+}
+
 const Controller::PeerState* Controller::peer_with_state() const {
     for (auto& [label, p] : peers_)
         if (fresh(p) && p.last.state_ok) return &p;
--- a/tests/standin.cpp
+++ b/tests/standin.cpp
@@ -208,7 +208,7 @@
     }
     for (auto& w : workers) {
         if (w->addr != to) continue;
-        if (w->dead) return;
+        if (w->dead || now_ < w->up_at) return;
         if (w->hung) {
             // A hanging machine reads what came in once it goes on.
             at(now_ + 0.5, [this, from, to, r, reply] { deliver(from, to, r, reply); });
@@ -348,10 +348,11 @@
     w->zone = zone;
     w->spot = spot;
     w->node = workers.size() % 3;
-    w->last_answered = now_;
+    w->created = now_;
+    w->up_at = w->last_answered = now_ + options_.boot_s;
     workers.push_back(std::move(w));
     auto* p = workers.back().get();
-    at(now_ + 1, [this, p] { report_loop(*p); });
+    at(p->up_at, [this, p] { report_loop(*p); });
     return *p;
 }
 http::Response World::cloud(const http::Request& r) {
@@ -398,8 +399,8 @@
                             {"hull", w->type},
                             {"reef", w->zone},
                             {"driftwood", w->spot},
-                            {"status", "running"},
-                            {"age_s", now_}});
+                            {"status", now_ < w->up_at ? "booting" : "running"},
+                            {"age_s", now_ - w->created}});
     return {200, json{{"berths", list}, {"more", false}}.dump()};
 }
 
--- a/tests/standin.hpp
+++ b/tests/standin.hpp
@@ -61,7 +61,7 @@
     std::string id, addr, type, zone;
     bool spot = false, dead = false, hung = false, sick = false;
     std::uint64_t session = 1, sequence = 0, helm = 0;
-    double last_answered = 0;
+    double created = 0, up_at = 0, last_answered = 0;
     std::size_t node = 0;
     std::map<std::string, Task> tasks;
 };
@@ -88,6 +88,7 @@
     std::size_t machines = 6;
     double report_s = 3, lease_s = 24, cancel_s = 44;
     double gpus_max = 12;
+    double boot_s = 1;  // what a machine takes; the nominal time is 5 s
 };
 
 class World {
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -212,6 +212,21 @@
     for (auto& b : w.broken) ADD_FAILURE() << b;
 }
 
+// Machines that boot several times as slowly as usual come up in the end, if they are not given up a moment
+// before, which a new leader is tempted to do: it has seen no boot yet.
+TEST(Takeover, LateMachinesAreWaitedForAlsoByANewLeader) {
+    spdlog::set_level(spdlog::level::off);
+    Options o;
+    o.machines = 0;
+    o.boot_s = 22;  // more than four nominal times
+    World w(o);
+    w.at(2, [&w] { w.submit("j-1", "batch", 4, 5); });
+    w.at(16, [&w] { w.crash(lead(w), 6); });
+    w.run_until(60);
+    EXPECT_TRUE(w.jobs["j-1"].done);
+    for (auto& b : w.broken) ADD_FAILURE() << b;
+}
+
 // The checker itself: a command that breaks a rule on purpose must be seen.
 TEST(Checker, SeesATaskStartedTwice) {
     spdlog::set_level(spdlog::level::off);
