A room's smallest share and the answer about a job are written once, no change of behaviour

placement::least_share serves capacity's free_share too; Users::answer ends both questions and cancellations.

--- a/src/api/users.cpp
+++ b/src/api/users.cpp
@@ -89,13 +89,15 @@
     });
 }
 
+void Users::answer(const std::string& id, const Known& k, bool with_counts, http::Reply reply) {
+    if (!k.ok) return reply(later());
+    if (k.unknown()) return reply({404, wire::error_body("no such job")});
+    answer_known(id, k, with_counts, std::move(reply));
+}
+
 void Users::query(const std::string& id, http::Reply reply) {
     if (!wire::valid_job_id(id)) return reply({404, wire::error_body("no such job")});
-    look_up(id, [this, id, reply](Known k) {
-        if (!k.ok) return reply(later());
-        if (k.unknown()) return reply({404, wire::error_body("no such job")});
-        answer_known(id, k, true, reply);
-    });
+    look_up(id, [this, id, reply](Known k) { answer(id, k, true, reply); });
 }
 
 // An accepted job's retry is answered with its state, whatever the rest of the body now says.
@@ -152,11 +154,7 @@
     state_.get(keys::job(id), state::Rank::write, [this, id, reply, tries](state::Found f) {
         if (!f.ok) return reply(later());
         if (f.entry) return store_cancelled(id, *f.entry, reply, tries);
-        read_final(id, [this, id, reply](Known k) {
-            if (!k.ok) return reply(later());
-            if (k.unknown()) return reply({404, wire::error_body("no such job")});
-            answer_known(id, k, false, reply);
-        });
+        read_final(id, [this, id, reply](Known k) { answer(id, k, false, reply); });
     });
 }
 void Users::store_cancelled(const std::string& id, const wire::Entry& entry, http::Reply reply, int tries) {
--- a/src/api/users.hpp
+++ b/src/api/users.hpp
@@ -53,6 +53,7 @@
     void look_up(const std::string& id, std::function<void(Known)> done);
     void read_final(const std::string& id, std::function<void(Known)> done);
     void store_cancelled(const std::string& id, const wire::Entry& entry, http::Reply reply, int tries);
+    void answer(const std::string& id, const Known& k, bool with_counts, http::Reply reply);
     void answer_known(const std::string& id, const Known& k, bool with_counts, http::Reply reply);
     void refuse_unless_known(const std::optional<std::string>& id, http::Response refusal, http::Reply reply);
     void store(wire::Job job, http::Reply reply);
--- a/src/capacity/capacity.cpp
+++ b/src/capacity/capacity.cpp
@@ -55,14 +55,7 @@
     bool full() const {
         return settings_.op.max_machines > 0 && bins_.size() + dark_bins_.size() >= settings_.op.max_machines;
     }
-    double free_share(const Bin& b) const {
-        auto& total = pool(b.pool).total;
-        double s = 1;
-        if (total.cpus > 0) s = std::min(s, b.free.cpus / total.cpus);
-        if (total.gpus > 0) s = std::min(s, b.free.gpus / total.gpus);
-        if (total.memory_gb > 0) s = std::min(s, b.free.memory_gb / total.memory_gb);
-        return std::max(0.0, s);
-    }
+    double free_share(const Bin& b) const { return placement::least_share(b.free, pool(b.pool).total); }
 
     placement::PoolSet pools_of(const wire::Job& job, const placement::ZoneCounts& zones) const {
         return placement::allowed_pools(job, zones, in_.pools);
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -41,6 +41,13 @@
     if (team.gpus_max > 0 && used.gpus + more.gpus > team.gpus_max + slack) return false;
     return true;
 }
+double least_share(const Room& room, const Room& total) {
+    double s = 1;
+    if (total.cpus > 0) s = std::min(s, room.cpus / total.cpus);
+    if (total.gpus > 0) s = std::min(s, room.gpus / total.gpus);
+    if (total.memory_gb > 0) s = std::min(s, room.memory_gb / total.memory_gb);
+    return std::max(0.0, s);
+}
 double grace_of(const wire::Job& job) {
     // Half as long again as the owner says, so that a slow machine still saves.
     return job.checkpoint_s > 0 ? job.save_s * 1.5 + 1 : 0;
@@ -57,15 +64,6 @@
     return s;
 }
 
-// The smallest share of a machine that the room is: what can still be used of it by tasks of any shape.
-double least(const Room& room, const Room& total) {
-    double s = 1;
-    if (total.cpus > 0) s = std::min(s, room.cpus / total.cpus);
-    if (total.gpus > 0) s = std::min(s, room.gpus / total.gpus);
-    if (total.memory_gb > 0) s = std::min(s, room.memory_gb / total.memory_gb);
-    return std::max(0.0, s);
-}
-
 constexpr double whole_machine = 0.5;    // a task that takes more than this share of a machine is packed
 constexpr double patience_reports = 20;  // so long a job lets others whose image is at hand go first
 constexpr double small_replica = 0.25;   // replicas that take at most this share go together
@@ -348,7 +346,7 @@
         for (std::size_t m = 0; m < in_.machines.size(); ++m) {
             if (!in_.machines[m].usable) continue;
             ++usable;
-            spare_ += least(in_.machines[m].free, total(m));
+            spare_ += least_share(in_.machines[m].free, total(m));
         }
         double ratio = settings_.op.reserve_ratio;
         kept_ = usable * ratio / (1 + ratio);
@@ -365,9 +363,9 @@
     // as processors are on a machine whose GPUs are all in use.
     double taken_of_spare(const wire::Job& spec, std::size_t m) const {
         auto room = in_.machines[m].free;
-        double before = least(room, total(m));
+        double before = least_share(room, total(m));
         room -= spec.need;
-        return before - least(room, total(m));
+        return before - least_share(room, total(m));
     }
     // Low priority lives on what is left over, and takes none of the last spare room: on that, higher
     // priorities start at once. With a guest's thousands of small tasks on every machine hundreds of GPUs lay
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -90,6 +90,8 @@
 PoolSet allowed_pools(const wire::Job& job, const ZoneCounts& zones, const std::vector<Pool>& pools);
 bool has_image(const MachineView& m, std::uint32_t image);
 bool team_allows(const config::Team& team, const wire::Room& used, const wire::Room& more);
+// The smallest share of a machine that the room is: what can still be used of it by tasks of any shape.
+double least_share(const wire::Room& room, const wire::Room& total);
 double grace_of(const wire::Job& job);
 // Two random choices among `n` machines: draws at random, skips those without room, and returns the one with
 // the least load; after some fruitless rounds, the first that has room.
