--- a/src/api/live_jobs.cpp
+++ b/src/api/live_jobs.cpp
@@ -54,8 +54,7 @@
     state_.list(keys::jobs, state::Rank::read, [this, batch = std::move(batch)](state::Listed l) mutable {
         if (l.ok) {
             jobs_.clear();
-            dependents_.clear();
-            ends_unknown_.clear();
+            awaits_.clear();
             for (auto& e : l.entries) take(e.key, e.version, &e.value);
             revision_ = l.revision;
         }
@@ -95,17 +94,12 @@
     if (it != jobs_.end()) {
         // Written again, which only a cancellation does.
         live.cancelled = live.cancelled || it->second.cancelled;
-        unlink(id, it->second);
+        awaits_.remove(id, it->second.awaits);
     }
-    ends_unknown_.erase(id);
-    for (auto& a : live.awaits) {
-        dependents_[a].insert(id);
-        auto before = jobs_.find(a);
-        if (before == jobs_.end())
-            ends_unknown_.insert(a);
-        else
+    awaits_.add(id, live.awaits, [&](auto& a) { return jobs_.contains(a); });
+    for (auto& a : live.awaits)
+        if (auto before = jobs_.find(a); before != jobs_.end())
             live.cancelled = live.cancelled || before->second.cancelled;
-    }
     bool cancelled = live.cancelled;
     jobs_.insert_or_assign(id, std::move(live));
     if (cancelled) cancel_behind(id);
@@ -113,49 +107,29 @@
 void LiveJobs::drop(const std::string& id) {
     auto it = jobs_.find(id);
     if (it == jobs_.end()) return;
-    unlink(id, it->second);
+    awaits_.remove(id, it->second.awaits);
     jobs_.erase(it);
-    if (dependents_.contains(id)) ends_unknown_.insert(id);
-}
-void LiveJobs::unlink(const std::string& id, const Live& job) {
-    for (auto& a : job.awaits) {
-        auto d = dependents_.find(a);
-        if (d == dependents_.end()) continue;
-        d->second.erase(id);
-        if (!d->second.empty()) continue;
-        dependents_.erase(d);
-        ends_unknown_.erase(a);
-    }
+    awaits_.gone(id);
 }
 void LiveJobs::cancel_behind(const std::string& id) {
-    std::vector<std::string> todo{id};
-    while (!todo.empty()) {
-        auto d = dependents_.find(todo.back());
-        todo.pop_back();
-        if (d == dependents_.end()) continue;
-        for (auto& y : d->second)
-            if (auto it = jobs_.find(y); it != jobs_.end() && !std::exchange(it->second.cancelled, true))
-                todo.push_back(y);
-    }
+    awaits_.each_behind(id, [&](auto& y) { return !std::exchange(jobs_.at(y).cancelled, true); });
 }
 void LiveJobs::ended(const std::string& id, wire::JobState state) {
-    if (!ends_unknown_.erase(id)) return;
+    if (!awaits_.ends_unknown().contains(id)) return;
     if (state == wire::JobState::cancelled) cancel_behind(id);
-    auto d = dependents_.extract(id);
-    for (auto& y : d.mapped())
-        if (auto it = jobs_.find(y); it != jobs_.end()) std::erase(it->second.awaits, id);
+    for (auto& y : awaits_.ended(id)) std::erase(jobs_.at(y).awaits, id);
 }
 // Seldom are there any: the walk back from a job is only made while the end of some awaited job is unknown.
 std::vector<std::string> LiveJobs::unknown_before(const std::string& id) const {
     std::vector<std::string> todo{id}, out;
     std::set<std::string> seen{id};
-    while (!ends_unknown_.empty() && !todo.empty()) {
+    while (!awaits_.ends_unknown().empty() && !todo.empty()) {
         auto it = jobs_.find(todo.back());
         todo.pop_back();
         if (it == jobs_.end() || it->second.cancelled) continue;
         for (auto& a : it->second.awaits) {
             if (!seen.insert(a).second) continue;
-            if (ends_unknown_.contains(a))
+            if (awaits_.ends_unknown().contains(a))
                 out.push_back(a);
             else
                 todo.push_back(a);
--- a/src/api/live_jobs.hpp
+++ b/src/api/live_jobs.hpp
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "config/settings.hpp"
+#include "jobs/awaits.hpp"
 #include "loop/timers.hpp"
 #include "state/client.hpp"
 
@@ -58,7 +59,6 @@
     void read_changes(std::vector<Question> batch);
     void take(const std::string& key, std::uint64_t version, const std::string* value);
     void drop(const std::string& id);
-    void unlink(const std::string& id, const Live& job);
     void cancel_behind(const std::string& id);
     std::vector<std::string> unknown_before(const std::string& id) const;
     void answer(std::vector<Question> batch, bool ok);
@@ -67,9 +67,8 @@
     state::Client& state_;
     const config::Settings& settings_;
     std::unordered_map<std::string, Live> jobs_;
-    std::unordered_map<std::string, std::set<std::string>> dependents_;  // by awaited job
-    std::set<std::string> ends_unknown_;                                 // awaited, but not live
-    std::uint64_t revision_ = 0;                                         // 0: all must be read first
+    jobs::Awaits awaits_;
+    std::uint64_t revision_ = 0;  // 0: all must be read first
     std::uint64_t questions_ = 0, requests_ = 0;
     std::vector<Question> waiting_;
     bool asking_ = false, armed_ = false;
--- a/src/daemon/leader_jobs.cpp
+++ b/src/daemon/leader_jobs.cpp
@@ -35,7 +35,7 @@
             // Its key stays until its tasks are proven gone: a later leader must know to stop them.
             // So do those of the jobs behind it go first: what is said about them then follows from live
             // jobs.
-            if (e.active.empty() && e.strays == 0 && settled && !table_.awaited(id))
+            if (e.active.empty() && e.strays == 0 && settled && !table_.awaits().awaited(id))
                 over.emplace_back(id, JobState::cancelled);
         } else if (e.all_done()) {
             over.emplace_back(id, JobState::done);
@@ -69,7 +69,7 @@
 }
 // The job's end is stored. What awaited it goes on at once: a short stage must not wait for the next report.
 void Leader::ended(const std::string& id, std::uint64_t revision, JobState state) {
-    bool awaited = table_.awaited(id);
+    bool awaited = table_.awaits().awaited(id);
     {
         std::lock_guard lock(mutex_);
         picture_.stored(id);
@@ -85,7 +85,7 @@
 // behind.
 void Leader::read_ends() {
     constexpr std::size_t at_once = 8;
-    for (auto& id : table_.ends_unknown()) {
+    for (auto& id : table_.awaits().ends_unknown()) {
         if (reading_ends_.size() >= at_once) return;
         if (absent_ends_.contains(id) || !reading_ends_.insert(id).second) continue;
         c_.state.get(keys::final(id), Rank::write, guarded([this, id](state::Found f) {
--- a/src/jobs/table.cpp
+++ b/src/jobs/table.cpp
@@ -88,17 +88,10 @@
 
 // Jobs come in any order when a leader loads: what needs this one may be here already.
 void Table::link(const std::string& id, Entry& e) {
-    ends_unknown_.erase(id);
-    for (auto& a : e.awaits) {
-        dependents_[a].insert(id);
-        auto it = jobs_.find(a);
-        if (it == jobs_.end())
-            ends_unknown_.insert(a);
-        else
-            e.cancelled = e.cancelled || it->second.cancelled;
-    }
-    if (auto d = dependents_.find(id); d != dependents_.end())
-        for (auto& y : d->second) hurry(y);
+    awaits_.add(id, e.awaits, [&](auto& a) { return jobs_.contains(a); });
+    for (auto& a : e.awaits)
+        if (auto* before = find(a)) e.cancelled = e.cancelled || before->cancelled;
+    for (auto& y : awaits_.right_behind(id)) hurry(y);
     hurry(id);
     if (e.cancelled) cancel_behind(id);
 }
@@ -125,24 +118,12 @@
     cancel_behind(id);
 }
 void Table::cancel_behind(const std::string& id) {
-    std::vector<std::string> todo{id};
-    while (!todo.empty()) {
-        auto d = dependents_.find(todo.back());
-        todo.pop_back();
-        if (d == dependents_.end()) continue;
-        for (auto& y : d->second)
-            if (!std::exchange(jobs_.at(y).cancelled, true)) todo.push_back(y);
-    }
+    awaits_.each_behind(id, [&](auto& y) { return !std::exchange(jobs_.at(y).cancelled, true); });
 }
 void Table::ended(const std::string& id, wire::JobState state, std::optional<double> unix_now) {
-    ends_unknown_.erase(id);
     if (state == wire::JobState::cancelled) cancel_behind(id);
-    auto d = dependents_.find(id);
-    if (d == dependents_.end()) return;
-    auto behind = std::move(d->second);
-    dependents_.erase(d);
-    if (state != wire::JobState::done) return;
-    for (auto& y : behind) {
+    for (auto& y : awaits_.ended(id)) {
+        if (state != wire::JobState::done) continue;
         auto& e = jobs_.at(y);
         e.awaits.erase(id);
         if (unix_now) e.ready = std::max(e.ready, *unix_now);
@@ -162,18 +143,12 @@
     }
 }
 void Table::erase(const std::string& id, std::uint64_t revision) {
-    if (auto it = jobs_.find(id); it != jobs_.end())
-        for (auto& a : it->second.awaits) {
-            auto d = dependents_.find(a);
-            if (d == dependents_.end()) continue;
-            d->second.erase(id);
-            if (!d->second.empty()) continue;
-            dependents_.erase(d);
-            ends_unknown_.erase(a);
-        }
-    jobs_.erase(id);
+    if (auto it = jobs_.find(id); it != jobs_.end()) {
+        awaits_.remove(id, it->second.awaits);
+        jobs_.erase(it);
+    }
     over_[id] = revision;
-    if (awaited(id)) ends_unknown_.insert(id);
+    awaits_.gone(id);
 }
 std::string Table::block_value(const Entry& e, const std::string& block, std::size_t value_bytes) const {
     auto [first, count] = range_of(block, value_bytes);
--- a/src/jobs/table.hpp
+++ b/src/jobs/table.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "jobs/awaits.hpp"
 #include "wire/protocol.hpp"
 
 namespace coralhitch::jobs {
@@ -79,9 +80,7 @@
     // is done, it may start; what is behind a cancelled one, however far, is cancelled.
     void ended(const std::string& id, wire::JobState state, std::optional<double> unix_now);
     void cancel(const std::string& id);
-    bool awaited(const std::string& id) const { return dependents_.contains(id); }
-    // Awaited jobs that are not live, so that only their final state can say whether they were done.
-    const std::set<std::string>& ends_unknown() const { return ends_unknown_; }
+    const Awaits& awaits() const { return awaits_; }
     // Changes up to this revision were seen: older news of jobs that are over can't come any more.
     void seen_revision(std::uint64_t revision) {
         std::erase_if(over_, [&](auto& o) { return o.second < revision; });
@@ -101,8 +100,7 @@
 
     std::size_t block_;
     std::map<std::string, Entry> jobs_;
-    std::unordered_map<std::string, std::set<std::string>> dependents_;  // by awaited job
-    std::set<std::string> ends_unknown_;
+    Awaits awaits_;
     std::unordered_map<std::string, std::uint64_t> over_;  // with the revision at which they were over
 };
 
--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -116,7 +116,7 @@
             if (backwards) std::reverse(all.begin(), all.end());
             std::uint64_t version = 1;
             for (auto& s : all) t.put(s.id, version++, record(s));
-            EXPECT_TRUE(t.ends_unknown().empty());
+            EXPECT_TRUE(t.awaits().ends_unknown().empty());
             c.play(t);
             std::set<std::string> may_start, cancelled;
             for (auto& [id, e] : t.all()) {
@@ -125,7 +125,7 @@
             }
             EXPECT_EQ(may_start, c.may_start);
             EXPECT_EQ(cancelled, c.cancelled);
-            EXPECT_EQ(t.ends_unknown(), c.unknown);
+            EXPECT_EQ(t.awaits().ends_unknown(), c.unknown);
         }
     }
 }
