--- a/src/api/users.cpp
+++ b/src/api/users.cpp
@@ -71,19 +71,34 @@
             if (--*left == 0) look_up(id, done, tries + 1);
         });
 }
+// One read for all who ask: of a long pipeline hundreds may hang on how the same job ended. A final state
+// holds for ever, so those who came while the read was under way may have it, too; that there is none is an
+// answer to those only who asked before the read.
 void Users::read_final(const std::string& id, std::function<void(Known)> done) {
     if (auto it = finals_.find(id); it != finals_.end()) return done({true, {}, it->second});
-    state_.get(keys::final(id), state::Rank::read, [this, id, done](state::Found f) {
-        if (!f.ok || !f.entry) return done({f.ok, {}, {}});
-        try {
-            auto r = wire::parse_final_record(f.entry->value);
-            if (finals_.size() > settings_.memory_mb * finals_per_mb) finals_.clear();
-            finals_[id] = r;
-            done({true, {}, r});
-        } catch (const wire::Malformed& m) {
-            spdlog::error("final record {}: {}", id, m.what());
-            done({});
+    auto [it, first] = reading_.try_emplace(id);
+    (first ? it->second.asked : it->second.later).push_back(std::move(done));
+    if (first) send_read(id);
+}
+void Users::send_read(const std::string& id) {
+    state_.get(keys::final(id), state::Rank::read, [this, id](state::Found f) {
+        Known k{f.ok, {}, {}};
+        if (f.entry) try {
+                k.final = wire::parse_final_record(f.entry->value);
+                if (finals_.size() > settings_.memory_mb * finals_per_mb) finals_.clear();
+                finals_[id] = *k.final;
+            } catch (const wire::Malformed& m) {
+                spdlog::error("final record {}: {}", id, m.what());
+                k.ok = false;
+            }
+        auto reading = std::move(reading_.extract(id).mapped());
+        if (!reading.later.empty() && k.unknown()) {
+            reading_[id].asked = std::move(reading.later);
+            send_read(id);
         }
+        for (auto* askers : {&reading.asked, &reading.later})
+            for (auto& done : *askers)
+                if (done) done(k);
     });
 }
 
@@ -155,6 +170,10 @@
     s->reply = std::move(reply);
     if (s->job.awaits.empty()) return store(s);
     // A retry is answered before the awaited jobs are judged.
+    auto most = most_awaited(state_.limits().txn_ops());
+    if (s->job.awaits.size() > most)
+        return refuse_unless_known(
+            id, {422, wire::error_body("awaits more than " + std::to_string(most) + " jobs")}, s->reply);
     look_up(id, [this, id, s](Known k) {
         if (!k.ok) return s->reply(later());
         if (!k.unknown()) return answer_known(id, k, false, s->reply);
@@ -184,15 +203,12 @@
         });
 }
 void Users::judge_awaited(std::shared_ptr<Submission> s) {
-    auto refuse = [&](const std::string& why) {
-        refuse_unless_known(s->job.id, {422, wire::error_body(why)}, s->reply);
-    };
-    if (!s->unknown.empty()) return refuse("awaits " + s->unknown + ", which was never accepted");
+    if (!s->unknown.empty())
+        return refuse_unless_known(
+            s->job.id, {422, wire::error_body("awaits " + s->unknown + ", which was never accepted")},
+            s->reply);
     if (s->unanswered) return s->reply(later());
     if (s->cancelled) s->conditions.clear();  // for ever, whatever becomes of the others
-    if (s->conditions.size() > most_awaited(state_.limits().txn_ops()))
-        return refuse("awaits more than " + std::to_string(most_awaited(state_.limits().txn_ops())) +
-                      " unfinished jobs");
     store(s);
 }
 
--- a/src/api/users.hpp
+++ b/src/api/users.hpp
@@ -22,7 +22,7 @@
 Verdict judge(const wire::Job& job, const std::vector<wire::MachineType>& types,
               const config::Settings& settings);
 
-// How many unfinished jobs one may await: a condition of the transaction for each, beside two of its own.
+// How many jobs one may await: a condition of the transaction for each, beside two of its own.
 std::size_t most_awaited(std::size_t txn_ops);
 
 struct TaskCounts {
@@ -70,6 +70,7 @@
     void look_up_awaited(std::shared_ptr<Submission> s);
     void judge_awaited(std::shared_ptr<Submission> s);
     void read_final(const std::string& id, std::function<void(Known)> done);
+    void send_read(const std::string& id);
     void store_cancelled(const std::string& id, const wire::Entry& entry, http::Reply reply, int tries);
     void answer(const std::string& id, const Known& k, bool with_counts, http::Reply reply);
     void answer_known(const std::string& id, const Known& k, bool with_counts, http::Reply reply);
@@ -83,6 +84,10 @@
     LiveJobs live_;
     // Final states never change, so they may be told from memory.
     std::unordered_map<std::string, wire::FinalRecord> finals_;
+    struct Reading {
+        std::vector<std::function<void(Known)>> asked, later;  // before the read was sent, and since
+    };
+    std::unordered_map<std::string, Reading> reading_;
 };
 
 }  // namespace coralhitch::api
--- a/tests/standin.cpp
+++ b/tests/standin.cpp
@@ -306,6 +306,7 @@
     if (state_down_until_ > now_ || refused_until_[from] > now_) return reply({503, "{}"});
     if (r.target.rfind("/kv/", 0) == 0) {
         auto key = r.target.substr(4);
+        ++reads[r.target];
         auto it = kv_.find(key);
         if (it == kv_.end()) return reply({404, json{{"epoch", revision_}}.dump()});
         json e{{"path", key}, {"value", json::parse(it->second.value)}, {"stamp", it->second.version}};
--- a/tests/standin.hpp
+++ b/tests/standin.hpp
@@ -141,6 +141,7 @@
     std::map<std::string, Told> jobs;
     std::vector<std::unique_ptr<Worker>> workers;
     std::size_t starts = 0;
+    std::map<std::string, std::size_t> reads;  // of each key at the state service
 
   private:
     struct Event {
