--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -160,7 +160,10 @@
         auto record = wire::parse_job_record(value);
         bool cancelled = record.cancelled;
         if (!table_.put(id, version, std::move(record))) return;
-        if (cancelled) stop_active(id, *table_.find(id), 0);
+        auto& e = *table_.find(id);
+        spdlog::debug("job {} of class {}: {} tasks, awaits {}, cancelled {}", id, e.spec->cls, e.spec->tasks,
+                      e.awaits.size(), e.cancelled);
+        if (cancelled) stop_active(id, e, 0);
     } catch (const wire::Malformed& x) {
         spdlog::error("job {}: {}", id, x.what());
     }
--- a/src/state/election.cpp
+++ b/src/state/election.cpp
@@ -54,17 +54,7 @@
     state_.get(keys::leader, Rank::lease, [this](Found f) {
         if (role_ != Role::following) return;
         if (!f.ok) return retry_look();
-        if (!f.entry) {
-            leader_.clear();
-            if (timers_.now() < paused_until_) return retry_look();
-            // One that is cut off from the workers would win as easily as one that hears them, and each
-            // leadership that comes to nothing costs their leases seconds. Only for a bounded time: whom it
-            // defers to may not be able to lead.
-            if (vacant_since_ < 0) vacant_since_ = timers_.now();
-            if (events_.defers && timers_.now() - vacant_since_ < ttl_ * defer_ttls && events_.defers())
-                return retry_look();
-            return campaign();
-        }
+        if (!f.entry) return vacant();
         vacant_since_ = -1;
         saw(*f.entry);
         try {
@@ -81,15 +71,33 @@
     });
 }
 
+void Election::vacant() {
+    leader_.clear();
+    if (timers_.now() < paused_until_) return retry_look();
+    // One that is cut off from the workers would win as easily as one that hears them, and each leadership
+    // that comes to nothing costs their leases seconds. Only for a bounded time: whom it defers to may not be
+    // able to lead.
+    if (vacant_since_ < 0) vacant_since_ = timers_.now();
+    if (events_.defers && timers_.now() - vacant_since_ < ttl_ * defer_ttls && events_.defers())
+        return retry_look();
+    campaign();
+}
+
 void Election::follow(std::uint64_t revision) {
     state_.watch(keys::leader, revision, ttl_, [this, revision](Watched w) {
         if (role_ != Role::following) return;
         if (w.status != Watched::Status::ok) return retry_look();
         std::uint64_t next = std::max(revision, w.events.revision);
+        bool ended = false;
         for (auto& e : w.events.events) {
             if (e.key != keys::leader) continue;
-            return look();
+            if (e.value) return look();
+            ended = true;
         }
+        // The claim makes sure that the key is gone, so it need not be read first. The version before reads
+        // it: while it is replaced controller by controller, those that are not to be stopped any more go
+        // first.
+        if (ended) return vacant();
         follow(next);
     });
 }
--- a/src/state/election.hpp
+++ b/src/state/election.hpp
@@ -40,6 +40,7 @@
   private:
     enum class Role { following, campaigning, leading };
     void look();
+    void vacant();
     void follow(std::uint64_t revision);
     void campaign();
     void claim(LeaseAnswer lease);
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -17,8 +17,16 @@
     bool refuse = false, lose_txn_answer = false, lose_renewals = false;
     std::uint64_t version = 0, lease = 0, leases = 0, revision = 4;
     std::string value;
+    double end_at = -1;  // the key's lease ends then, and watches say so
+    int reads = 0;
 
     void send(const std::string&, http::Request r, double timeout, http::Result result) override {
+        if (r.target.starts_with("/watch") && end_at >= 0)
+            return void(timers_.after(end_at - timers_.now(), [this, result] {
+                version = 0;
+                end_at = -1;
+                result(http::Response{200, R"({"epoch":9,"news":[{"drop":"leader","stamp":9}]})"});
+            }));
         auto answer = execute(r);
         double wait = answer ? 0.01 : timeout;
         timers_.after(wait, [answer, result] { result(answer); });
@@ -28,6 +36,7 @@
     std::optional<http::Response> execute(const http::Request& r) {
         if (refuse) return http::Response{503, "{}"};
         if (r.target.starts_with("/kv/")) {
+            ++reads;
             if (!version) return http::Response{404, "{\"epoch\":" + std::to_string(revision) + "}"};
             return http::Response{200, "{\"path\":\"leader\",\"value\":" + value +
                                            ",\"stamp\":" + std::to_string(version) +
@@ -159,6 +168,19 @@
     b.timers.run_until(b.election.ttl() * 1.5);
     EXPECT_EQ(b.won, 1);
 }
+// While a version is replaced controller by controller, those that are new already must come before the old
+// ones, which read the key before they claim it.
+TEST(Election, ClaimsAtOnceWhenTheKeyIsSaidToBeGone) {
+    Bench b;
+    b.held_by("berth-1");
+    b.service.end_at = 2;
+    b.start();
+    b.timers.run_until(1.9);
+    auto reads = b.service.reads;
+    b.timers.run_until(2.05);
+    EXPECT_EQ(b.won, 1);
+    EXPECT_EQ(b.service.reads, reads);
+}
 TEST(Election, EndsTheLeaseOfItsOwnEarlierProcess) {
     Bench b;
     b.held_by("berth-0");
