--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -84,11 +84,13 @@
     }
     return most;
 }
-// Whether another controller, which could lead, hears clearly more machines than this one.
+// Whether another controller, which could lead, hears clearly more machines than this one. Nobody stands back
+// for an older version: it is about to be stopped and replaced.
 bool Controller::hears_less() const {
     std::size_t most = 0;
     for (auto& [label, p] : peers_)
-        if (fresh(p) && p.last.state_ok) most = std::max(most, p.last.workers.size());
+        if (fresh(p) && p.last.state_ok && p.last.features >= wire::peer_features)
+            most = std::max(most, p.last.workers.size());
     return most > 2 * heard_.size();
 }
 bool Controller::give_way() {
