--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -270,6 +270,9 @@
     for (auto& name : names) ask_rental(name);
     plan_soon();
     c_.metrics.gauge("jobs", static_cast<double>(table_.all().size()));
+    c_.metrics.gauge("awaiting",
+                     static_cast<double>(std::count_if(table_.all().begin(), table_.all().end(),
+                                                       [](auto& j) { return j.second.awaiting(); })));
     c_.metrics.gauge("machines", static_cast<double>(picture_.machines().size()));
 }
 
--- a/src/daemon/leader_plans.cpp
+++ b/src/daemon/leader_plans.cpp
@@ -104,6 +104,7 @@
         j.spec = e.spec;
         j.priority = e.priority;
         j.submitted = e.ready;
+        j.due = e.due;
         j.startable =
             !e.cancelled && !e.awaiting() && !e.all_done() && now() >= e.not_before && e.strays == 0;
         std::size_t most = e.spec->kind == Kind::gang ? e.spec->tasks : e.on_probation() ? 1 : tasks_per_plan;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -66,7 +66,8 @@
 
 constexpr double whole_machine = 0.5;    // a task that takes more than this share of a machine is packed
 constexpr double patience_reports = 20;  // so long a job lets others whose image is at hand go first
-constexpr double small_replica = 0.25;   // replicas that take at most this share go together
+constexpr double pressed_reports = 4;
+constexpr double small_replica = 0.25;  // replicas that take at most this share go together
 
 class Planner {
   public:
@@ -102,6 +103,7 @@
         std::sort(order.begin(), order.end(), [&](auto a, auto b) {
             int ra = rank(a), rb = rank(b);
             if (ra != rb) return ra > rb;
+            if (pressed(a) != pressed(b)) return pressed(a);
             auto &x = in_.jobs[a], &y = in_.jobs[b];
             if (x.submitted != y.submitted) return x.submitted < y.submitted;
             return x.spec->id < y.spec->id;
@@ -126,7 +128,7 @@
     void place(std::size_t j, bool near_only) {
         auto& job = in_.jobs[j];
         if (job.waiting.empty()) return;
-        bool patient = job.spec->kind != Kind::service &&
+        bool patient = job.spec->kind != Kind::service && !pressed(j) &&
                        in_.unix_now - job.submitted < settings_.report_s * patience_reports;
         if (!near_only && !patient) return;  // was tried whole the first time
         if (job.spec->kind == Kind::gang)
@@ -135,6 +137,13 @@
             singles(j, near_only && patient);
     }
 
+    // Has hardly more time left than its tasks take: goes first among jobs of its rank, and does not wait for
+    // machines that have its image.
+    bool pressed(std::size_t j) const {
+        auto& job = in_.jobs[j];
+        return job.due - job.spec->estimate_s - in_.unix_now < settings_.report_s * pressed_reports;
+    }
+
     // A job is within its team's guarantee if it fits into it together with the team's earlier unfinished
     // jobs.
     void guarantees() {
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -5,6 +5,7 @@
 #pragma once
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -45,6 +46,8 @@
     wire::Priority priority = wire::Priority::low;  // its own, or that of a job that needs it
     double submitted = 0;                           // unix seconds; or since when it could start
     bool startable = true;                          // not cancelled, not pausing, nothing unexplained
+    // Unix seconds at which it should be done, so that it and all that need it are in time.
+    double due = std::numeric_limits<double>::infinity();
     std::vector<std::uint32_t> waiting;
     std::size_t open = 0;  // tasks not done
     ZoneCounts zones;      // where tasks may still be
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -337,6 +337,36 @@
     ASSERT_EQ(d.starts.size(), 3u);
     for (auto& s : d.starts) EXPECT_EQ(s.machine, 2u);
 }
+// The last room goes to the job that has hardly any time left, within a rank; image at hand or not.
+TEST(Order, AJobPressedForTimeGoesFirstAmongItsRank) {
+    struct Case {
+        double due;
+        Priority other;
+        std::size_t first;
+    };
+    const Case cases[] = {{1e18, Priority::normal, 0},
+                          {1000 + 60, Priority::normal, 0},
+                          {1000 + 15, Priority::normal, 1},
+                          {1000 - 5, Priority::normal, 1},
+                          {1000 + 15, Priority::high, 0}};
+    for (auto& c : cases) {
+        Input in;
+        in.unix_now = 1000;
+        in.machines = {machine("m1")};
+        in.machines[0].free = {1, 1, 1};
+        in.machines[0].images = std::make_shared<const Images>(Images{1});
+        in.jobs = {job("j-1", Kind::array, 1, 1), job("j-2", Kind::array, 1, 1)};
+        in.jobs[0].submitted = in.jobs[1].submitted = 999;
+        in.jobs[0].image = 1;
+        in.jobs[1].image = 2;
+        edit(in.jobs[0]).priority = c.other;
+        edit(in.jobs[1]).estimate_s = 5;
+        in.jobs[1].due = c.due;
+        auto out = run(in);
+        ASSERT_EQ(out.starts.size(), 1u);
+        EXPECT_EQ(out.starts[0].job, c.first) << c.due;
+    }
+}
 // Thousands of small tasks of low priority must not stand where the GPUs of others would lie idle for want of
 // a processor, nor take the last spare room.
 TEST(Plan, LowPriorityLivesOnWhatIsLeftOver) {
