Tests: cases for two guards that no test had missed

Each guard was taken out in a copy: what a job awaits after a cancellation, and a job behind one that is known to be cancelled already. Both tests fail without them now.

--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -126,6 +126,9 @@
             EXPECT_EQ(may_start, c.may_start);
             EXPECT_EQ(cancelled, c.cancelled);
             EXPECT_EQ(t.awaits().ends_unknown(), c.unknown);
+            // What awaited a cancelled job awaits it for ever.
+            for (auto& id : c.cancelled)
+                if (id != "a" && id != "b2") EXPECT_TRUE(t.find(id)->awaiting()) << id;
         }
     }
 }
--- a/tests/live_jobs_test.cpp
+++ b/tests/live_jobs_test.cpp
@@ -165,6 +165,16 @@
          for (auto id : {"j-2", "j-3", "j-4", "j-5"}) b.ask(id);
      },
      {"hangs on j-3", "cancelled", "cancelled", "cancelled", "live"}},
+    {"behind one that is known to be cancelled already, read in a list or as a change",
+     [](Bench& b) {
+         b.service.put("j-1", true);
+         b.service.put("j-2", false, {"j-1"});
+         b.ask("j-2");
+         b.timers.run_until(1);
+         b.service.put("j-3", false, {"j-2"});
+         b.ask("j-3");
+     },
+     {"cancelled", "cancelled"}},
     {"an awaited job that is over decides by how it ended; others need not wait for that",
      [](Bench& b) {
          b.service.put("j-2", false, {"j-1"});
