--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -295,6 +295,11 @@
     }
     for (auto& b : w.broken) ADD_FAILURE() << b;
 }
+// Behind job `first`, each awaits the one before it.
+void submit_chain(World& w, int first, int end, double run_s) {
+    auto id = [](int k) { return "j-" + std::to_string(k); };
+    for (int k = first + 1; k < end; ++k) w.submit_awaiting(id(k), "batch", 1, run_s, {id(k - 1)});
+}
 // While the state service is away nobody can mark the jobs behind a cancelled one, and right after it there
 // may be no leader: whoever answers must work it out from the awaited jobs.
 TEST(Awaits, CancellationReachesThroughAnOutageWithoutALeader) {
@@ -306,12 +311,7 @@
         w.at(2, [&w] {
             w.submit("j-1", "service", 1, 0);
             w.submit("j-10", "batch", 1, 100);
-            std::string before = "j-10";
-            for (int k = 11; k < 30; ++k) {
-                auto id = "j-" + std::to_string(k);
-                w.submit_awaiting(id, "batch", 1, 1, {before});
-                before = id;
-            }
+            submit_chain(w, 10, 30, 1);
         });
         w.run_until(30);
         w.cancel("j-10");
@@ -359,12 +359,7 @@
     World w({});
     w.at(2, [&w] {
         w.submit("j-1", "batch", 1, 3);
-        std::string before = "j-1";
-        for (int k = 2; k < 60; ++k) {
-            auto id = "j-" + std::to_string(k);
-            w.submit_awaiting(id, "batch", 1, 600, {before});
-            before = id;
-        }
+        submit_chain(w, 1, 60, 600);
     });
     w.run_until(30);
     ASSERT_TRUE(w.jobs["j-1"].done);
