Controllers that do not lead hear workers for the one that does

Change: followers answer reports that repeat the last one while a grant lasts, and pass the others on in batches; the leader recalls a machine before it commands it.

--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -30,6 +30,7 @@
     double reserve_ratio = 0.3;
     std::uint32_t max_machines = 0;
     double idle_boots = 0.5;
+    bool hearing = true;
 };
 struct Settings {
     std::string label, zone, listen, peer_listen;
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -37,7 +37,8 @@
       state_(timers, http, settings),
       election_(timers, state_, settings, incarnation_, random_()),
       cloud_(timers, http, settings),
-      users_(timers, state_, settings, *this) {
+      users_(timers, state_, settings, *this),
+      hearer_(timers, http, settings, incarnation_, [this] { return hears_for(); }) {
     for (auto& p : settings.peers) peers_[p.label].peer = p;
 }
 Controller::~Controller() {
@@ -50,6 +51,7 @@
     learn_types();
     ping_peers();
     check_state();
+    hearer_.start();
 }
 
 void Controller::won(std::uint64_t version) {
@@ -233,6 +235,10 @@
     auto& live = users_.live_jobs();
     metrics_.gauge("questions", static_cast<double>(live.questions()));
     metrics_.gauge("question_requests", static_cast<double>(live.requests()));
+    metrics_.gauge("reports_repeated", static_cast<double>(hearer_.repeated()));
+    metrics_.gauge("reports_relayed", static_cast<double>(hearer_.relayed()));
+    metrics_.gauge("reports_dropped", static_cast<double>(hearer_.dropped()));
+    metrics_.gauge("machines_lent", leader_ ? static_cast<double>(leader_->lent()) : 0);
     metrics_.gauge("live_jobs", static_cast<double>(live.size()));
     for (auto& [what, n] : state_.changes()) metrics_.gauge("state_changes_" + what, n);
     metrics_.gauge("state_rejections", static_cast<double>(state_.rejections()));
@@ -317,24 +323,37 @@
         if (timers_.now() - w.since > wire::worker_patience_s)
             w.reply({503, "{}"});  // the worker has gone elsewhere meanwhile
         else
-            hello(w.body, std::move(w.reply));
+            hello(std::move(w.body), std::move(w.reply));
     }
     hearing_ = !reports_.empty();
     if (hearing_) timers_.after(0, [this] { hear_some(); });
 }
-void Controller::hello(const std::string& body, http::Reply reply) {
-    wire::Report report;
-    try {
-        report = wire::parse_report(body);
-    } catch (const wire::Malformed& m) {
-        spdlog::info("report: {}", m.what());
-        return reply({400, wire::error_body(m.what())});
+void Controller::hello(std::string body, http::Reply reply) {
+    if (leader_) return leader_->hello(std::move(body), std::move(reply));
+    // To read no more of it than its name leaves time for others: without a leader every worker calls each
+    // second.
+    if (auto o = wire::outline_report(body)) {
+        heard_[std::string(o->machine)] = timers_.now();
+    } else {
+        try {
+            heard_[wire::parse_report(body).machine] = timers_.now();
+        } catch (const wire::Malformed& m) {
+            spdlog::info("report: {}", m.what());
+            return reply({400, wire::error_body(m.what())});
+        }
     }
-    if (leader_) return leader_->hello(std::move(report), std::move(reply));
-    heard_[report.machine] = timers_.now();
+    if (hearer_.offer(body, reply)) return;
     auto* peer = leading_peer();
     reply({421, wire::report_elsewhere(peer ? peer->label : "")});
 }
+// The leader, if its version takes reports from others.
+hearing::Leadership Controller::hears_for() const {
+    auto it = peers_.find(election_.leader());
+    if (leader_ || !settings_.op.hearing || it == peers_.end() ||
+        it->second.last.features < wire::peer_features_relay)
+        return {};
+    return {it->second.peer.addr, election_.leader_version()};
+}
 
 const config::Peer* Controller::leading_peer() const {
     auto it = peers_.find(election_.leader());
@@ -387,6 +406,11 @@
                                       wire::PeerUserAnswer{a.status, std::move(a.body), a.retry_after_s})));
                               });
         }
+    } else if (r.target == wire::peer_relay_path) {
+        if (auto m = wire::unpack_peer<wire::PeerRelay>(r.body)) {
+            if (leader_) return leader_->relay(*m, std::move(reply));
+            return reply(packed(wire::pack_peer(wire::PeerRelayAnswer{})));
+        }
     } else if (r.target == wire::peer_images_path) {
         if (auto images = wire::unpack_peer<wire::PeerImages>(r.body)) {
             remembered_ = std::move(*images);
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -8,6 +8,7 @@
 
 #include "api/users.hpp"
 #include "daemon/leader.hpp"
+#include "hearing/hearer.hpp"
 #include "wire/peer.hpp"
 
 namespace coralhitch::daemon {
@@ -41,7 +42,8 @@
     void ask_peer(const http::Request& r, http::Response refusal, http::Reply reply);
     void hello_later(std::string body, http::Reply reply);
     void hear_some();
-    void hello(const std::string& body, http::Reply reply);
+    void hello(std::string body, http::Reply reply);
+    hearing::Leadership hears_for() const;
     void won(std::uint64_t version);
     void lost();
     void ping_peers();
@@ -80,6 +82,7 @@
         double since;
     };
     std::deque<Waiting> reports_;
+    hearing::Hearer hearer_;
     bool hearing_ = false;
     std::unordered_map<std::string, api::TaskCounts> counts_;  // from the leader's last ping
     double counted_ = -1;
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -44,7 +44,7 @@
 void Leader::stop() {
     stopped_ = true;
     c_.timers.cancel(tick_timer_);
-    for (auto& [r, reply] : early_) reply({503, "{}"});
+    for (auto& [body, reply] : early_) reply({503, "{}"});
     early_.clear();
 }
 
@@ -151,7 +151,7 @@
     spdlog::info("leader: loaded {} jobs and {} machines", table_.all().size(), picture_.machines().size());
     read_ends();
     for (auto& [id, m] : picture_.machines()) probe(m);
-    for (auto& [r, reply] : std::exchange(early_, {})) hello(std::move(r), std::move(reply));
+    for (auto& [body, reply] : std::exchange(early_, {})) hello(std::move(body), std::move(reply));
     tick();
 }
 
@@ -247,15 +247,22 @@
     return out;
 }
 
+// Asked after each report of a takeover: walking all machines each time cost as much as the reports.
 bool Leader::all_settled() const {
-    return std::all_of(picture_.machines().begin(), picture_.machines().end(),
-                       [](auto& m) { return m.second.settled || !m.second.stored; });
+    auto& all = picture_.machines();
+    if (auto it = all.find(unsettled_); it != all.end() && !it->second.settled && it->second.stored)
+        return false;
+    auto it = std::find_if(all.begin(), all.end(),
+                           [](auto& m) { return !m.second.settled && m.second.stored; });
+    unsettled_ = it == all.end() ? "" : it->first;
+    return it == all.end();
 }
 
 void Leader::tick() {
     if (stopped_) return;
     tick_timer_ = c_.timers.after(c_.settings.report_s * tick_reports, guarded([this] { tick(); }));
     absent_ends_.clear();
+    moved_ = 0;
     read_ends();
     check_machines();
     if (stopped_) return;
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -16,6 +16,8 @@
 #include "daemon/metrics.hpp"
 #include "daemon/planner.hpp"
 #include "fleet/picture.hpp"
+#include "hearing/lent.hpp"
+#include "hearing/memory.hpp"
 #include "jobs/table.hpp"
 #include "placement/placement.hpp"
 #include "state/election.hpp"
@@ -46,7 +48,11 @@
     void start();
     void stop();
 
-    void hello(wire::Report report, http::Reply reply);
+    void hello(std::string body, http::Reply reply);
+    // Reports that another controller heard: each is answered as if it had come here.
+    void relay(const wire::PeerRelay& m, http::Reply reply);
+    std::size_t lent() const { return lent_.count(); }
+    std::uint64_t repeated() const { return repeated_; }
     std::optional<api::TaskCounts> counts(const std::string& id);
     std::vector<wire::PeerCount> all_counts();
     wire::PeerImages images() const;
@@ -82,6 +88,11 @@
 
     // machines
     fleet::Heard hear(const wire::Report& r, fleet::Via via);
+    bool may_renew() const;
+    bool hello_again(const std::string& body, const http::Reply& reply);
+    wire::PeerRelayed answer_report(const std::string& body, const std::string& hearer, std::string& machine);
+    std::optional<std::string> better_place(fleet::Machine& m);
+    void recall(const std::string& id);
     void flush_all();
     void flush(fleet::Machine& m);
     void probe(fleet::Machine& m);
@@ -155,7 +166,7 @@
     jobs::Table table_;
     MachineStore store_;
 
-    std::deque<std::pair<wire::Report, http::Reply>> early_;  // reports that came before the jobs were loaded
+    std::deque<std::pair<std::string, http::Reply>> early_;  // reports that came before the jobs were loaded
     std::uint64_t attempts_ = 0, rentals_made_ = 0;
     std::deque<std::string> to_probe_;
     std::size_t probing_ = 0;
@@ -169,6 +180,11 @@
     double plan_took_ = 0;
     double last_plan_ = -1, last_capacity_ = -1, last_list_ = -1, remove_retry_ = 0;
     bool listed_once_ = false;
+    hearing::Lent lent_;
+    hearing::Memory memory_;  // of machines that report here
+    std::uint64_t repeated_ = 0;
+    std::size_t up_ = 0, moved_ = 0;  // machines that are up; how many were sent elsewhere since the last tick
+    mutable std::string unsettled_;   // a machine that had not settled when last looked at
     double slowest_boot_ = 4;         // lately, in nominal boot times
     std::vector<double> zone_heard_;  // by zone: when a machine there was last heard, or known to be up
     std::deque<double> fenced_;       // when machines were fenced for silence
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -32,31 +32,134 @@
 // much.
 constexpr double usual_boots = 2, most_boots = 8, boots_kept = 0.95, overdue_ratio = 1.5;
 constexpr double dark_reports = 2, dark_leases = 4;
+// Of the machines that are up: how many report to the leader itself while others hear for it; how many it
+// sends to them in a tick; and for how many leases a machine is not sent again.
+constexpr double own_share = 0.2, moved_share = 1.0 / 50, moved_leases = 4;
 }  // namespace
 
-void Leader::hello(wire::Report report, http::Reply reply) {
+// Without authority the workers' leases are renewed for a bounded time, and nothing new is commanded.
+bool Leader::may_renew() const {
+    return !stopped_ && (authority() || now() <= c_.election.authority_until() + keep_alive_);
+}
+
+void Leader::hello(std::string body, http::Reply reply) {
     if (!loaded_) {
-        early_.emplace_back(std::move(report), std::move(reply));
+        early_.emplace_back(std::move(body), std::move(reply));
         return;
     }
-    // Without authority the workers' leases are renewed for a bounded time, and nothing new is commanded.
+    if (hello_again(body, reply)) return;
+    std::string machine;
+    auto a = answer_report(body, "", machine);
+    auto* m = picture_.find(machine);
+    if (a.quiet && m) {
+        if (auto elsewhere = better_place(*m)) {
+            memory_.forget(machine);
+            return reply({421, wire::report_elsewhere(*elsewhere)});
+        }
+        memory_.remember(std::move(body), machine, m->sequence, a.body, now());
+    }
+    reply({a.status, std::move(a.body)});
+    if (m) flush(*m);
+}
+// A report that says what the last one of its machine said, and that one is the last that was heard of it.
+bool Leader::hello_again(const std::string& body, const http::Reply& reply) {
+    auto o = wire::outline_report(body);
+    if (!o || !authority()) return false;
+    auto* r = memory_.repeats(body, *o);
+    if (!r) return false;
+    std::lock_guard lock(mutex_);
+    auto* m = picture_.find(std::string(o->machine));
+    if (!m || m->sequence != r->sequence || !picture_.quiet(*m)) return false;
+    r->sequence = m->sequence = m->hello_sequence = o->sequence;
+    m->last_heard = m->renewed = now();
+    heard_from(zone_of(*m));
+    recall(m->id);
+    ++repeated_;
+    reply({200, r->answer});
+    return true;
+}
+// With the hearer that passes it on, or none if it came here.
+wire::PeerRelayed Leader::answer_report(const std::string& body, const std::string& hearer,
+                                        std::string& machine) {
+    if (!may_renew()) return {};
     bool may = authority();
-    if (!may && now() > c_.election.authority_until() + keep_alive_) return reply({503, "{}"});
+    wire::Report report;
+    try {
+        report = wire::parse_report(body);
+    } catch (const wire::Malformed& x) {
+        spdlog::info("report: {}", x.what());
+        return {400, wire::error_body(x.what()), false};
+    }
+    machine = report.machine;
     bool current = hear(report, fleet::Via::hello).current;
-    if (stopped_) return reply({503, "{}"});
-    std::vector<wire::Command> commands;
-    std::uint64_t token = 0;
+    std::lock_guard lock(mutex_);
+    auto* m = picture_.find(report.machine);
+    // Never a 200 that the worker would drop: a later leader's token, a machine that is deleted.
+    if (stopped_ || !current || !m) return {};
+    if (!lent_.lent_to(m->id, hearer)) recall(m->id);  // it has left the controller that heard it
+    auto commands = picture_.answer(*m, now(), may);
+    m->renewed = m->settled ? now() : std::max(m->renewed, now());
+    bool quiet = commands.empty() && picture_.quiet(*m);
+    if (!hearer.empty() && quiet)
+        lent_.lend(m->id, hearer);
+    else
+        recall(m->id);
+    return {200, wire::report_answer(m->token, commands), quiet};
+}
+void Leader::recall(const std::string& id) {
+    auto until = lent_.recall(id);
+    auto* m = picture_.find(id);
+    if (until && m) m->lent_until = std::max(m->lent_until, *until);
+}
+// The leader has most to do besides hearing, so others hear most machines: it sends quiet ones to them, a few
+// at a time, and none twice within some leases, in case that one can't be reached from there.
+std::optional<std::string> Leader::better_place(Machine& m) {
+    double t = now(), fleet = static_cast<double>(up_);
+    auto peers = static_cast<double>(std::max<std::size_t>(1, c_.settings.peers.size()));
+    bool enough_here = fleet - static_cast<double>(lent_.count()) > fleet * own_share;
+    if (!c_.settings.op.hearing || !enough_here || static_cast<double>(moved_) > fleet * moved_share ||
+        (m.moved >= 0 && t - m.moved < c_.settings.lease_s * moved_leases))
+        return std::nullopt;
+    auto most = static_cast<std::size_t>(fleet * (1 - own_share) / peers) + 1;
+    auto to = lent_.least(t, most);
+    if (!to) return std::nullopt;
+    m.moved = t;
+    ++moved_;
+    return to;
+}
+void Leader::relay(const wire::PeerRelay& q, http::Reply reply) {
+    const auto& s = c_.settings;
+    wire::PeerRelayAnswer a;
+    a.leads = q.leader_version == version_ && may_renew() && s.op.hearing;
+    a.ready = a.leads && loaded_;
+    auto send = [&] { reply({200, wire::pack_peer(a), "application/msgpack"}); };
+    if (!a.ready) return send();
+    auto given_back = [this](const std::string& id, double until) {
+        if (auto* m = picture_.find(id)) m->lent_until = std::max(m->lent_until, until);
+    };
+    if (!lent_.heard(q.label, q.incarnation, q.number, q.answered, given_back))
+        return reply({503, {}, "application/msgpack"});
+    std::string machine;
+    for (auto& body : q.reports) a.answers.push_back(answer_report(body, q.label, machine));
     {
         std::lock_guard lock(mutex_);
-        auto* m = picture_.find(report.machine);
-        // Never a 200 that the worker would drop: a later leader's token, a machine that is deleted.
-        if (!current || !m) return reply({503, "{}"});
-        commands = picture_.answer(*m, now(), may);
-        token = m->token;
-        m->renewed = m->settled ? now() : std::max(m->renewed, now());
+        for (auto& h : q.heard) {
+            auto* m = picture_.find(h.machine);
+            if (!m || !lent_.lent_to(h.machine, q.label)) continue;
+            m->last_heard = std::max(m->last_heard, now() - static_cast<double>(h.age_ms) / 1000);
+            heard_from(zone_of(*m));
+        }
     }
-    reply({200, wire::report_answer(token, commands)});
-    if (auto* m = picture_.find(report.machine)) flush(*m);
+    flush_all();
+    // Within the time for which this leader itself may renew leases, which its successor counts on, and which
+    // ends early enough for tasks that are cancelled.
+    double left = c_.election.authority_until() + keep_alive_ - now();
+    double grant = std::max(0.0, std::min({s.report_s, keep_alive_, left}));
+    a.grant_ms = static_cast<std::uint64_t>(grant * 1000);
+    a.recalled = lent_.answer(q.label, now() + grant * (1 + 2 * state::drift));
+    a.share = static_cast<std::uint64_t>(static_cast<double>(up_) * (1 - own_share) /
+                                         static_cast<double>(s.peers.size())) + 1;
+    send();
 }
 
 fleet::Heard Leader::hear(const wire::Report& r, fleet::Via via) {
@@ -226,8 +329,10 @@
         std::lock_guard lock(mutex_);
         ids = picture_.to_flush();
     }
-    for (auto& id : ids)
+    for (auto& id : ids) {
+        recall(id);
         if (auto* m = picture_.find(id)) flush(*m);
+    }
 }
 void Leader::flush(Machine& m) {
     std::vector<wire::Command> commands;
@@ -290,6 +395,8 @@
             auto* before = picture_.find(id);
             first_session = before && before->session < report.session;
             if (report.machine == id) hear(report, fleet::Via::direct);
+            // What a hearer would go on answering may not be the last word any more.
+            if (auto* m = picture_.find(id); m && !picture_.quiet(*m)) recall(id);
         } catch (const wire::Malformed& x) {
             spdlog::info("machine {}: {}", id, x.what());
         }
@@ -351,6 +458,7 @@
         heard += silent < deaf_s;
         longest = std::max(longest, silent);
     }
+    up_ = up - fenced_.size();
     std::size_t late = silent_ids.size() + fenced_.size();
     // While the first machine becomes due to be fenced, more than half of a fleet that is well reports. A
     // leader that hears next to none of many is cut off from them, or stood still, though less than a third
@@ -406,7 +514,9 @@
     if (due) probe(m);
     // Proof by time: the worker kills its tasks lease_s after it sent the last report that was answered. That
     // report was sent before its answer; an answer to a delayed report counts too.
-    bool lease_over = t > m.renewed + s.lease_s * (1 + 2 * state::drift) + s.report_s / 3;
+    // A hearer may have answered it, too.
+    double renewed = std::max(lent_.renewed(m.id, m.renewed), m.lent_until);
+    bool lease_over = t > renewed + s.lease_s * (1 + 2 * state::drift) + s.report_s / 3;
     if (lease_over && silent > s.lease_s && (!m.tasks.empty() || !m.settled)) {
         spdlog::info("machine {}: its lease is out", m.id);
         std::lock_guard lock(mutex_);
@@ -467,6 +577,8 @@
         for (auto& id : ids) {
             if (!picture_.find(id)) continue;
             store_.remove(id);
+            recall(id);
+            memory_.forget(id);
             // Proof: by the time of the answer the machine and everything on it are gone.
             for (auto& e : picture_.removed(id)) handle_end(e);
         }
--- a/src/fleet/picture.cpp
+++ b/src/fleet/picture.cpp
@@ -281,6 +281,15 @@
     return out;
 }
 
+bool Picture::quiet(const Machine& m) const {
+    bool plain = m.life == Machine::Life::up && m.settled && m.stored && m.notice_until < 0 && !m.unsent &&
+                 m.ended.empty() && m.token == m.helm;
+    return plain && std::all_of(m.tasks.begin(), m.tasks.end(), [](auto& t) {
+               auto& i = t.second;
+               return i.seen && i.spec && !i.stop && i.direct == 0;
+           });
+}
+
 void Picture::direct_done(Machine& m, const std::vector<Command>& commands, std::uint64_t token,
                           bool answered) {
     auto settle = [&](auto& x) {
--- a/src/fleet/picture.hpp
+++ b/src/fleet/picture.hpp
@@ -56,6 +56,8 @@
     std::uint64_t session = 0, sequence = 0, hello_sequence = 0, helm = 0, token = 0;
     double created = 0, last_heard = 0, last_probe = -1, idle_since = 0;
     double renewed = 0;  // last moment at which a controller may have renewed the worker's lease
+    double lent_until = -1;  // last moment at which a hearer that gave it back may have renewed its lease
+    double moved = -1;       // when it was last sent to another controller
     double notice_until = -1;
     bool probing = false;
     std::map<wire::TaskId, Instance> tasks;
@@ -114,6 +116,9 @@
 
     // Direct commands: what to send now; mark them as under way; what became of them.
     std::vector<wire::Command> direct_now(Machine& m, double now, bool authority);
+    // Nothing is to be said to the machine, and its last report showed all that is known to be on it: a
+    // report that says the same tells nothing, and its answer holds nothing.
+    bool quiet(const Machine& m) const;
     void direct_done(Machine& m, const std::vector<wire::Command>& commands, std::uint64_t token,
                      bool answered);
 
--- /dev/null
+++ b/src/hearing/hearer.cpp
@@ -0,0 +1,167 @@
+#include "hearing/hearer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "state/election.hpp"
+
+namespace coralhitch::hearing {
+namespace {
+// Ratios to the report period.
+constexpr double gap_reports = 1.0 / 60;   // between two messages, so that reports come together
+constexpr double idle_reports = 1.0 / 10;  // a message goes at least so often: recalls and grants come with it
+constexpr double retry_reports = 1.0 / 5;  // after one that failed
+// A worker waits longer than its controller does for the leader: the answer must still find it waiting.
+constexpr double patience_share = 0.5;
+constexpr std::size_t most_reports = 256;       // in a message
+constexpr double message_share = 1.0 / 128;     // of the memory: what a message may hold
+// Read in full again after so many worker leases, whatever is repeated: what would otherwise hang on one
+// mistaken answer for ever is mended.
+constexpr double memory_leases = 4;
+}  // namespace
+
+Hearer::Hearer(loop::Timers& timers, http::Requester& http, const config::Settings& settings,
+               std::uint64_t incarnation, std::function<Leadership()> lead)
+    : timers_(timers),
+      http_(http),
+      settings_(settings),
+      incarnation_(incarnation),
+      lead_(std::move(lead)) {}
+Hearer::~Hearer() = default;
+
+void Hearer::start() {
+    heed_leader();
+    timers_.after(settings_.report_s * idle_reports, guarded([this] { start(); }));
+    if (timers_.now() - last_sent_ >= settings_.report_s * idle_reports) send();
+}
+
+// Another leadership: its grants and what it knows of the machines are its own.
+void Hearer::heed_leader() {
+    auto now = lead_();
+    if (now == leader_) return;
+    leader_ = std::move(now);
+    link_ = leader_.addr.empty() ? Link::down : Link::trying;
+    granted_until_ = -1;
+    share_ = 0;
+    memory_.clear();
+    heard_.clear();
+    // Those that wait have been read by nobody: the next leader may as well take them.
+    if (link_ == Link::down) refuse(waiting_);
+    soon();
+}
+bool Hearer::may_answer() const {
+    return timers_.now() < granted_until_;
+}
+void Hearer::refuse(std::deque<Waiting>& waiting) {
+    for (auto& w : std::exchange(waiting, {})) w.reply({503, "{}"});
+}
+
+bool Hearer::offer(std::string& body, http::Reply& reply) {
+    heed_leader();
+    if (link_ == Link::down) return false;
+    double t = timers_.now();
+    if (auto o = wire::outline_report(body); o && may_answer()) {
+        auto* r = memory_.repeats(body, *o);
+        if (r && t - r->since < settings_.lease_s * memory_leases) {
+            r->sequence = o->sequence;
+            heard_[std::string(o->machine)] = t;
+            ++repeated_;
+            reply({200, r->answer});
+            return true;
+        }
+    }
+    waiting_.push_back({std::move(body), std::move(reply), t});
+    soon();
+    return true;
+}
+
+void Hearer::soon() {
+    if (busy_ || armed_) return;
+    armed_ = true;
+    double wait = std::max(0.0, last_sent_ + settings_.report_s * gap_reports - timers_.now());
+    timers_.after(wait, guarded([this] {
+                      armed_ = false;
+                      send();
+                  }));
+}
+
+void Hearer::send() {
+    heed_leader();
+    if (busy_ || leader_.addr.empty()) return;
+    double t = timers_.now();
+    if (link_ == Link::down && t - last_sent_ < settings_.report_s * retry_reports) return;
+    wire::PeerRelay m{settings_.label, incarnation_, leader_.version, ++number_, taken_in_, {}, {}};
+    std::deque<Waiting> batch;
+    auto most_bytes = static_cast<std::size_t>(settings_.memory_mb * 1024 * 1024 * message_share);
+    std::size_t bytes = 0;
+    while (!waiting_.empty() && batch.size() < most_reports && bytes <= most_bytes) {
+        auto w = std::move(waiting_.front());
+        waiting_.pop_front();
+        if (t - w.since > wire::worker_patience_s * patience_share) {
+            ++dropped_;  // nobody waits for it by the time the leader has answered
+            w.reply({503, "{}"});
+            continue;
+        }
+        bytes += w.body.size();
+        m.reports.push_back(w.body);
+        batch.push_back(std::move(w));
+    }
+    for (auto& [machine, at] : heard_)
+        m.heard.push_back({machine, static_cast<std::uint64_t>(std::max(0.0, t - at) * 1000)});
+    heard_.clear();
+    relayed_ += batch.size();
+    busy_ = true;
+    last_sent_ = t;
+    auto shared = std::make_shared<std::deque<Waiting>>(std::move(batch));
+    http_.send(leader_.addr,
+               {"POST", std::string(wire::peer_relay_path), wire::pack_peer(m), "application/msgpack"},
+               wire::worker_patience_s * patience_share,
+               guarded([this, number = number_, t, to = leader_, shared](std::optional<http::Response> r) {
+                   answered(number, t, to, std::move(*shared), r);
+               }));
+}
+
+void Hearer::answered(std::uint64_t number, double sent, const Leadership& to, std::deque<Waiting> batch,
+                      const std::optional<http::Response>& r) {
+    busy_ = false;
+    heed_leader();
+    std::optional<wire::PeerRelayAnswer> a;
+    if (r && r->status == 200) a = wire::unpack_peer<wire::PeerRelayAnswer>(r->body);
+    if (!a || !a->leads || !(to == leader_)) {
+        if (to == leader_) {
+            link_ = Link::down;
+            refuse(waiting_);
+        }
+        return refuse(batch);
+    }
+    link_ = Link::up;
+    if (!a->ready) {
+        // It has only begun to lead: what waits is sent again, as long as its workers wait.
+        for (auto w = batch.rbegin(); w != batch.rend(); ++w) waiting_.push_front(std::move(*w));
+        if (!waiting_.empty()) soon();
+        return;
+    }
+    for (std::size_t k = 0; k < batch.size() && k < a->answers.size(); ++k)
+        keep(std::move(batch[k]), a->answers[k]);
+    batch.erase(batch.begin(),
+                batch.begin() + static_cast<std::ptrdiff_t>(std::min(batch.size(), a->answers.size())));
+    refuse(batch);
+    // Recalls before the grant: one without the other would let a machine's lease be renewed for longer than
+    // the leader counts on.
+    for (auto& machine : a->recalled) memory_.forget(machine);
+    taken_in_ = number;
+    granted_until_ = sent + static_cast<double>(a->grant_ms) / 1000 * (1 - 2 * state::drift);
+    share_ = a->share;
+    if (!waiting_.empty()) soon();
+}
+
+void Hearer::keep(Waiting w, const wire::PeerRelayed& a) {
+    auto o = wire::outline_report(w.body);
+    if (o && a.status == 200 && a.quiet)
+        memory_.remember(std::move(w.body), std::string(o->machine), o->sequence, a.body, timers_.now());
+    else if (o)
+        memory_.forget(o->machine);
+    w.reply({a.status, a.body});
+}
+
+}  // namespace coralhitch::hearing
--- /dev/null
+++ b/src/hearing/hearer.hpp
@@ -0,0 +1,88 @@
+// A controller that does not lead hears workers for the one that does.
+//
+// A report that repeats the last one of its machine is answered here while the leader's grant lasts. All
+// others go to the leader, many in one message, and its answers back to the workers; that needs no grant,
+// since the leader itself answers. Without a leader that takes them nothing is taken here.
+#pragma once
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <memory>
+#include <unordered_map>
+
+#include "config/settings.hpp"
+#include "hearing/memory.hpp"
+#include "http/message.hpp"
+#include "loop/timers.hpp"
+#include "wire/peer.hpp"
+
+namespace coralhitch::hearing {
+
+struct Leadership {
+    std::string addr;           // of the leader's peer interface; empty: nobody to hear for
+    std::uint64_t version = 0;  // of the leader's key
+    bool operator==(const Leadership&) const = default;
+};
+
+class Hearer {
+  public:
+    // `lead` tells for whom to hear; it is asked at every report and before every message.
+    Hearer(loop::Timers& timers, http::Requester& http, const config::Settings& settings,
+           std::uint64_t incarnation, std::function<Leadership()> lead);
+    ~Hearer();
+    Hearer(const Hearer&) = delete;
+    Hearer& operator=(const Hearer&) = delete;
+
+    void start();
+    // Takes a report and will answer it, or leaves both arguments as they are and returns false.
+    bool offer(std::string& body, http::Reply& reply);
+    // Whether there are more machines here than the leader wants to be.
+    bool full() const { return share_ > 0 && memory_.size() >= share_; }
+
+    std::uint64_t repeated() const { return repeated_; }  // reports answered here
+    std::uint64_t relayed() const { return relayed_; }    // reports that went to the leader
+    std::uint64_t dropped() const { return dropped_; }    // reports whose workers had given up waiting
+
+  private:
+    struct Waiting {
+        std::string body;
+        http::Reply reply;
+        double since = 0;
+    };
+    // Whether the leader takes what is sent: not known yet, yes, or not the last time.
+    enum class Link { trying, up, down };
+    void heed_leader();
+    bool may_answer() const;
+    void refuse(std::deque<Waiting>& waiting);
+    void soon();
+    void send();
+    void answered(std::uint64_t number, double sent, const Leadership& to, std::deque<Waiting> batch,
+                  const std::optional<http::Response>& r);
+    void keep(Waiting w, const wire::PeerRelayed& a);
+    template <class F>
+    auto guarded(F f) {
+        return [alive = std::weak_ptr<int>(alive_), f = std::move(f)](auto&&... a) mutable {
+            if (!alive.expired()) f(std::forward<decltype(a)>(a)...);
+        };
+    }
+
+    loop::Timers& timers_;
+    http::Requester& http_;
+    const config::Settings& settings_;
+    std::uint64_t incarnation_;
+    std::function<Leadership()> lead_;
+    Leadership leader_;
+    Link link_ = Link::down;
+    double granted_until_ = -1;
+    Memory memory_;
+    std::deque<Waiting> waiting_;
+    std::unordered_map<std::string, double> heard_;  // answered here since the last message, and when
+    bool busy_ = false, armed_ = false;
+    double last_sent_ = -1;
+    std::uint64_t number_ = 0, taken_in_ = 0, share_ = 0;
+    std::uint64_t repeated_ = 0, relayed_ = 0, dropped_ = 0;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace coralhitch::hearing
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -14,6 +14,7 @@
 inline constexpr std::string_view peer_images_path = "/peer/images";
 inline constexpr std::string_view peer_job_path = "/peer/job";
 inline constexpr std::string_view peer_cancelled_path = "/peer/cancelled";
+inline constexpr std::string_view peer_relay_path = "/peer/relay";
 
 // Tasks of a live job, as the leader counts them.
 struct PeerCount {
@@ -22,7 +23,8 @@
     MSGPACK_DEFINE(id, done, running)
 };
 inline constexpr std::uint64_t peer_features_awaits = 1;  // jobs that await others
-inline constexpr std::uint64_t peer_features = peer_features_awaits;
+inline constexpr std::uint64_t peer_features_relay = 2;   // takes reports that another controller heard
+inline constexpr std::uint64_t peer_features = peer_features_relay;
 
 struct PeerPing {
     std::string label;
@@ -73,6 +75,39 @@
     MSGPACK_DEFINE(known, done, running)
 };
 
+// From a controller that hears workers for the leader. One at a time; each carries the next number.
+struct PeerHeard {
+    std::string machine;
+    std::uint64_t age_ms = 0;  // since its report came, at the time of sending
+    MSGPACK_DEFINE(machine, age_ms)
+};
+struct PeerRelay {
+    std::string label;
+    std::uint64_t incarnation = 0;
+    std::uint64_t leader_version = 0;  // of the leadership that it is meant for
+    std::uint64_t number = 0;
+    std::uint64_t answered = 0;        // the number of the last of these whose answer was taken in
+    std::vector<std::string> reports;  // as the workers sent them; each worker waits for its answer
+    std::vector<PeerHeard> heard;      // machines that repeated their last report, and were answered
+    MSGPACK_DEFINE(label, incarnation, leader_version, number, answered, reports, heard)
+};
+struct PeerRelayed {
+    int status = 503;
+    std::string body;
+    // Nothing is to be said to this machine: while the grant lasts, the same answer may be given to a report
+    // that repeats this one.
+    bool quiet = false;
+    MSGPACK_DEFINE(status, body, quiet)
+};
+struct PeerRelayAnswer {
+    bool leads = false, ready = false;  // ready: reports are taken; otherwise they may be sent again
+    std::uint64_t grant_ms = 0;         // counted from the sending of what this answers
+    std::vector<PeerRelayed> answers;   // of each report
+    std::vector<std::string> recalled;  // machines whose next report must come here; applied last
+    std::uint64_t share = 0;            // machines that the hearer should keep; others may come to it
+    MSGPACK_DEFINE(leads, ready, grant_ms, answers, recalled, share)
+};
+
 template <class T>
 std::string pack_peer(const T& v) {
     msgpack::sbuffer b;
--- a/src/wire/protocol.cpp
+++ b/src/wire/protocol.cpp
@@ -303,6 +303,27 @@
     }
     return r;
 }
+std::optional<ReportOutline> outline_report(std::string_view body) {
+    constexpr std::string_view machine_field = "\"berth\":", sequence_field = "\"tally\":";
+    auto value_at = [&](std::string_view field) {
+        auto p = body.find(field);
+        if (p == std::string_view::npos) return p;
+        return body.find_first_not_of(' ', p + field.size());
+    };
+    ReportOutline o;
+    auto m = value_at(machine_field);
+    if (m == std::string_view::npos || body[m] != '"') return std::nullopt;
+    auto end = body.find('"', ++m);
+    o.at = value_at(sequence_field);
+    if (end == std::string_view::npos || o.at == std::string_view::npos) return std::nullopt;
+    o.machine = body.substr(m, end - m);
+    auto [last, ec] = std::from_chars(body.data() + o.at, body.data() + body.size(), o.sequence);
+    o.digits = static_cast<std::size_t>(last - body.data()) - o.at;
+    // An escape would make the name another one; a fraction or an exponent the number.
+    bool whole = last != body.data() + body.size() && (*last == ',' || *last == '}' || *last == ' ');
+    if (ec != std::errc() || !whole || o.machine.find('\\') != std::string_view::npos) return std::nullopt;
+    return o;
+}
 std::string report_answer(std::uint64_t token, std::span<const Command> commands) {
     return dumped(json{{"helm", token}, {"orders", commands_json(commands)}});
 }
--- a/src/wire/protocol.hpp
+++ b/src/wire/protocol.hpp
@@ -50,6 +50,14 @@
 // Workers
 inline constexpr double worker_patience_s = 4;  // a worker drops answers to its reports after that
 Report parse_report(std::string_view body);
+// What tells two reports of a machine apart that say the same: where the sequence stands in the text. Found
+// without reading the rest; nothing if the text is laid out in a way that this does not expect.
+struct ReportOutline {
+    std::string_view machine;
+    std::uint64_t sequence = 0;
+    std::size_t at = 0, digits = 0;  // of the sequence's digits
+};
+std::optional<ReportOutline> outline_report(std::string_view body);
 std::string report_answer(std::uint64_t token, std::span<const Command> commands);
 std::string direct_commands(std::uint64_t token, std::uint64_t session, std::span<const Command> commands);
 std::string report_elsewhere(std::string_view label);  // empty label: nobody known
