Machines whose reports came by a lost way are waited for, not fenced

Cause: a leader that lost its workers fenced 390 machines that were well, since they were fewer than a third of the fleet (apart fell to 0.73). Change: nobody heard by one way, of many: its machines get the time to turn to another.

--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -106,6 +106,7 @@
     void stop_active(const std::string& id, jobs::Entry& e, double grace_s);
     void check_machine(fleet::Machine& m, bool fence, double wait);
     void check_machines();
+    void check_routes(double wait, double deaf_s);
     void heard_from(std::size_t zone);
     bool dark(std::size_t zone) const;
     double boot_s(const fleet::Machine& m) const;
@@ -186,6 +187,7 @@
     std::size_t up_ = 0, moved_ = 0;  // machines that are up; how many were sent elsewhere since the last tick
     mutable std::string unsettled_;   // a machine that had not settled when last looked at
     double slowest_boot_ = 4;         // lately, in nominal boot times
+    std::map<std::string, double> lost_routes_;  // until when the machines that came by it are waited for
     std::vector<double> zone_heard_;  // by zone: when a machine there was last heard, or known to be up
     std::deque<double> fenced_;       // when machines were fenced for silence
     loop::TimerId tick_timer_ = 0;
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -72,6 +72,7 @@
     if (!m || m->sequence != r->sequence || !picture_.quiet(*m)) return false;
     r->sequence = m->sequence = m->hello_sequence = o->sequence;
     m->last_heard = m->renewed = now();
+    m->route.clear();
     heard_from(zone_of(*m));
     recall(m->id);
     ++repeated_;
@@ -99,6 +100,7 @@
     if (!lent_.lent_to(m->id, hearer)) recall(m->id);  // it has left the controller that heard it
     auto commands = picture_.answer(*m, now(), may);
     m->renewed = m->settled ? now() : std::max(m->renewed, now());
+    m->route = hearer;
     bool quiet = commands.empty() && picture_.quiet(*m);
     if (!hearer.empty() && quiet)
         lent_.lend(m->id, hearer);
@@ -438,6 +440,31 @@
     slowest_boot_ = std::clamp(std::max(took, slowest_boot_ * boots_kept), usual_boots, most_boots);
 }
 
+// When a controller that hears machines ends or is cut off from them, or the leader is from those that report
+// to itself, they turn to another within some seconds. Fewer than a third of the fleet, they used to be
+// fenced before: 390 machines that were well, replicas on them, when a leader lost its workers while the
+// others went on hearing for it.
+void Leader::check_routes(double wait, double deaf_s) {
+    struct Route {
+        std::size_t up = 0, heard = 0;
+        double longest = 0;
+    };
+    std::map<std::string, Route> routes;
+    double t = now();
+    for (auto& [id, m] : picture_.machines()) {
+        if (m.life != Machine::Life::up || !m.settled) continue;
+        auto& r = routes[m.route];
+        ++r.up;
+        r.heard += t - m.last_heard < deaf_s;
+        r.longest = std::max(r.longest, t - m.last_heard);
+    }
+    std::erase_if(lost_routes_, [&](auto& l) { return l.second < t; });
+    for (auto& [label, r] : routes)
+        if (r.longest > deaf_s && r.up >= deaf_fleet / 2 &&
+            static_cast<double>(r.heard) < static_cast<double>(r.up) * deaf_share)
+            lost_routes_[label] = t + wait + c_.settings.report_s * turn_reports;
+}
+
 void Leader::check_machines() {
     const auto& s = c_.settings;
     double t = now();
@@ -468,6 +495,7 @@
     if (deaf)
         for (auto& [id, m] : picture_.machines())
             if (m.life == Machine::Life::up && t - m.last_heard >= deaf_s) silent_ids.insert(id);
+    check_routes(wait, deaf_s);
     bool fence = authority();
     // Nothing is placed while a machine is unsettled, and one that is well answers a direct command at once.
     double unsettled_wait = std::min(wait, s.report_s * unsettled_reports);
@@ -493,7 +521,9 @@
     for (auto& [id, m] : picture_.machines()) ids.push_back(id);
     for (auto& id : ids) {
         auto* m = picture_.find(id);
-        if (m) check_machine(*m, fence, m->settled ? wait : unsettled_wait);
+        if (!m) continue;
+        double turn = lost_routes_.contains(m->route) ? s.report_s * turn_reports : 0;
+        check_machine(*m, fence, m->settled ? wait + turn : unsettled_wait);
     }
 }
 
--- a/src/fleet/picture.hpp
+++ b/src/fleet/picture.hpp
@@ -57,6 +57,7 @@
     double created = 0, last_heard = 0, last_probe = -1, idle_since = 0;
     double renewed = 0;  // last moment at which a controller may have renewed the worker's lease
     double lent_until = -1;  // last moment at which a hearer that gave it back may have renewed its lease
+    std::string route;       // the controller through which its last report came; empty: the leader itself
     double moved = -1;       // when it was last sent to another controller
     double notice_until = -1;
     bool probing = false;
