A new leader that reaches no machine itself waits for those that others pass on

Cause: cut off from the workers, it fenced machines that were still turning to the controller that hears them (seen in the takeover test with hearing on). Change: the early fence of unsettled machines needs an answered direct command.

--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -171,6 +171,7 @@
     std::uint64_t attempts_ = 0, rentals_made_ = 0;
     std::deque<std::string> to_probe_;
     std::size_t probing_ = 0;
+    double direct_heard_ = -1;  // when a machine last answered a direct command
     std::map<std::string, Rental> rentals_;
     std::map<std::size_t, double> refused_;  // pools without capacity, until when
     std::set<std::string> keys_to_drop_;
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -392,6 +392,7 @@
                       const std::optional<http::Response>& r) {
     bool executed = r && r->status == 200, refused = r && (r->status == 409 || r->status == 400);
     bool first_session = false;
+    if (executed || refused) direct_heard_ = now();
     if (executed || refused) try {
             auto report = wire::parse_report(r->body);
             auto* before = picture_.find(id);
@@ -498,7 +499,12 @@
     check_routes(wait, deaf_s);
     bool fence = authority();
     // Nothing is placed while a machine is unsettled, and one that is well answers a direct command at once.
-    double unsettled_wait = std::min(wait, s.report_s * unsettled_reports);
+    // Not so if this leader reaches none itself, and hears only what others pass on: a worker may try every
+    // other controller in vain before it comes to one that hears it.
+    bool reaches = direct_heard_ >= 0 && t - direct_heard_ < wait;
+    double unsettled_wait =
+        reaches ? std::min(wait, s.report_s * unsettled_reports)
+                : wait + s.report_s + static_cast<double>(s.peers.size()) * wire::worker_turns_s;
     if (deaf || static_cast<double>(late) > static_cast<double>(up) * suspect_share) {
         // Many silent at once: this controller may be cut off from them. Workers that get no answer turn to
         // the other controllers, so these know: if they hear machines, one of them should lead; if they hear
--- a/src/wire/protocol.hpp
+++ b/src/wire/protocol.hpp
@@ -49,6 +49,7 @@
 
 // Workers
 inline constexpr double worker_patience_s = 4;  // a worker drops answers to its reports after that
+inline constexpr double worker_turns_s = worker_patience_s + 1;  // and has then turned to the next controller
 Report parse_report(std::string_view body);
 // What tells two reports of a machine apart that say the same: where the sequence stands in the text. Found
 // without reading the rest; nothing if the text is laid out in a way that this does not expect.
--- a/tests/standin.cpp
+++ b/tests/standin.cpp
@@ -75,6 +75,7 @@
         s.cancel_s = options_.cancel_s;
         s.gang_wait_s = 50;
         s.gang_peer_s = 5;
+        s.op.hearing = options_.hearing;
         s.state_rps = 200;
         s.state_write_rps = 80;
         s.value_kb = options_.value_kb;
--- a/tests/standin.hpp
+++ b/tests/standin.hpp
@@ -90,6 +90,7 @@
     double report_s = 3, lease_s = 24, cancel_s = 44;
     double gpus_max = 12;
     double boot_s = 1;       // what a machine takes; the nominal time is 5 s
+    bool hearing = true;     // controllers that do not lead hear workers for the one that does
     bool old_pings = false;  // what controllers say of themselves is as the version before says it
     // The state service's limits, and what they fall to without notice, if they do.
     double value_kb = 16, next_value_kb = 16;
