No plan without need; ends of tasks, idle timers and checks without walks over the fleet

Cause: most plans had nothing to place and copied the whole fleet to see that; each stored end walked all machines; each request set its idle timer anew. Change: a plan needs a waiting task or a due look at capacity; ends are indexed by job; a timer that is due sooner looks at the deadline when it fires.

--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -144,6 +144,8 @@
         capacity::Decisions capacity;
         bool with_capacity = false;
     };
+    bool may_wait(const jobs::Entry& e) const;
+    bool anything_waits();
     placement::Input snapshot();
     capacity::Input rentals() const;
     void fill_capacity(Plan& p);
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -523,13 +523,9 @@
         unsettled_wait = wait;
         fence = fence && elsewhere && *elsewhere * 2 < silent_ids.size();
     }
-    std::vector<std::string> ids;
-    for (auto& [id, m] : picture_.machines()) ids.push_back(id);
-    for (auto& id : ids) {
-        auto* m = picture_.find(id);
-        if (!m) continue;
-        double turn = lost_routes_.contains(m->route) ? s.report_s * turn_reports : 0;
-        check_machine(*m, fence, m->settled ? wait + turn : unsettled_wait);
+    for (auto& [id, m] : picture_.machines()) {
+        double turn = lost_routes_.contains(m.route) ? s.report_s * turn_reports : 0;
+        check_machine(m, fence, m.settled ? wait + turn : unsettled_wait);
     }
 }
 
--- a/src/daemon/leader_plans.cpp
+++ b/src/daemon/leader_plans.cpp
@@ -32,14 +32,25 @@
                     }));
 }
 
+// Whether the job may start tasks now, as far as it is up to the job.
+bool Leader::may_wait(const jobs::Entry& e) const {
+    return !e.cancelled && !e.awaiting() && !e.all_done() && now() >= e.not_before && e.strays == 0;
+}
+bool Leader::anything_waits() {
+    return std::any_of(table_.all().begin(), table_.all().end(),
+                       [&](auto& j) { return may_wait(j.second) && j.second.any_waiting(); });
+}
+
 void Leader::plan() {
     // A new leader can't know what unsettled machines hold, so neither a task, a quota nor a zone is safe.
     if (planning_ || !loaded_ || !authority() || !all_settled()) return;
-    planning_ = true;
-    last_plan_ = now();
     auto plan = std::make_shared<Plan>();
     plan->with_capacity =
         now() - last_capacity_ > c_.settings.report_s * capacity_reports && !c_.types.empty();
+    // Most plans found nothing to place: each copied the whole fleet to see that.
+    if (!plan->with_capacity && !anything_waits()) return;
+    planning_ = true;
+    last_plan_ = now();
     if (plan->with_capacity) {
         last_capacity_ = now();
         plan->fleet = rentals();
@@ -105,8 +116,7 @@
         j.priority = e.priority;
         j.submitted = e.ready;
         j.due = e.due;
-        j.startable =
-            !e.cancelled && !e.awaiting() && !e.all_done() && now() >= e.not_before && e.strays == 0;
+        j.startable = may_wait(e);
         std::size_t most = e.spec->kind == Kind::gang ? e.spec->tasks : e.on_probation() ? 1 : tasks_per_plan;
         if (j.startable && !(e.on_probation() && !e.active.empty())) j.waiting = e.waiting(most);
         j.open = e.done.size() - e.done_count;
--- a/src/fleet/picture.cpp
+++ b/src/fleet/picture.cpp
@@ -178,6 +178,7 @@
             }
             if (t.cause != Cause::done) e.stored = true;  // nothing to store for other ends
             m.ended.emplace(key, e);
+            if (!e.stored) ended_at_[t.task.job].insert(m.id);
             heard.ends.push_back({m.id, t.task, t.attempt, true, stray, t.cause, t.saved, started});
             continue;
         }
@@ -328,9 +329,14 @@
     if (!i.seen && m.token <= i.run_token) m.token = i.run_token + 1;
 }
 void Picture::stored(const std::string& job, const std::set<std::uint32_t>& tasks) {
-    for (auto& [id, m] : machines_)
-        for (auto& [key, e] : m.ended)
-            if (key.first.job == job && (tasks.empty() || tasks.contains(key.first.index))) e.stored = true;
+    auto at = ended_at_.find(job);
+    if (at == ended_at_.end()) return;
+    for (auto& id : at->second)
+        if (auto* m = find(id))
+            for (auto& [key, e] : m->ended)
+                if (key.first.job == job && (tasks.empty() || tasks.contains(key.first.index)))
+                    e.stored = true;
+    if (tasks.empty()) ended_at_.erase(at);
 }
 std::vector<End> Picture::removed(const std::string& id) {
     auto it = machines_.find(id);
--- a/src/fleet/picture.hpp
+++ b/src/fleet/picture.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -161,6 +162,9 @@
     std::vector<std::string> zones_;
     std::map<std::string, std::uint32_t> images_;
     std::vector<std::string> to_flush_;
+    // By job: machines that hold, or held, ends of its tasks. Walking all machines for each end that was
+    // stored took as long as the reports.
+    std::unordered_map<std::string, std::set<std::string>> ended_at_;
     std::map<std::string, Machine> machines_;
     std::unordered_set<std::string> gone_;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -72,8 +72,20 @@
     }
 }
 void Server::arm(std::uint64_t id, Client& c, double seconds) {
+    // A timer that is due no later looks at the deadline when it fires: to set it anew with each request took
+    // more time than reading it.
+    c.deadline = loop_.now() + seconds;
+    if (c.timer != 0 && c.timer_due <= c.deadline) return;
     loop_.cancel(c.timer);
-    c.timer = loop_.after(seconds, [this, id] { close(id); });
+    c.timer_due = c.deadline;
+    c.timer = loop_.after(seconds, [this, id] { expire(id); });
+}
+void Server::expire(std::uint64_t id) {
+    auto& c = clients_.at(id);
+    c.timer = 0;
+    double left = c.deadline - loop_.now();
+    if (left <= 0) return close(id);
+    arm(id, c, left);
 }
 void Server::close(std::uint64_t id) {
     auto it = clients_.find(id);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -24,6 +24,7 @@
     struct Client {
         std::unique_ptr<Connection> connection;
         loop::TimerId timer = 0;
+        double timer_due = 0, deadline = 0;
         bool busy = false, closing = false, started = false;
     };
     void accept_all();
@@ -31,6 +32,7 @@
     void serve(std::uint64_t id);
     void answer(std::uint64_t id, const Response& r, bool keep_alive);
     void arm(std::uint64_t id, Client& c, double seconds);
+    void expire(std::uint64_t id);
     void close(std::uint64_t id);
 
     loop::Loop& loop_;
--- a/src/jobs/table.hpp
+++ b/src/jobs/table.hpp
@@ -59,6 +59,11 @@
     std::vector<std::uint32_t> waiting(std::size_t most);
     std::size_t waiting_count() const { return done.size() - done_count - active_open(); }
     std::size_t active_open() const;
+    // Whether any task neither is done nor may still be on a machine; hardly ever walks the tasks.
+    bool any_waiting() const {
+        auto open = done.size() - done_count;
+        return open > active.size() || (done_count > 0 && open > active_open());
+    }
 };
 
 class Table {
