Two lanes in the loop: reports wait for renewals, users and health checks

Cause: at four times the size the answer to a lease's renewal stood behind thousands of workers; the leader lost its lease within 7 s and leadership went round. Change: connections that carried a report form a lane that is served a few at a time after all that is urgent; what a worker gave up on is not read; accepts are bounded.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -46,8 +46,10 @@
     std::random_device device;
     std::uint64_t seed = (std::uint64_t{device()} << 32) ^ device();
     daemon::Controller controller(loop, client, settings, planner, seed);
+    auto user_limits = server_limits(settings, 0.7);
+    user_limits.bulk = [](const std::string& path) { return path == wire::paths::report; };
     http::Server users(
-        loop, settings.listen, server_limits(settings, 0.7),
+        loop, settings.listen, std::move(user_limits),
         [&](http::Request r, http::Reply reply) { controller.serve(std::move(r), std::move(reply)); });
     auto peer_limits = server_limits(settings, 0.04);
     // What controllers tell each other grows with jobs and machines, beyond what a user may send.
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -1,7 +1,6 @@
 #include "http/connection.hpp"
 
 #include <strings.h>
-#include <sys/epoll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -99,9 +98,15 @@
 }
 
 void Connection::listen_events(loop::Loop::Handler handler, bool connecting) {
-    events_ = connecting ? EPOLLIN | EPOLLOUT : EPOLLIN;
+    events_ = connecting ? always_ | EPOLLOUT : always_;
     loop_.watch(fd_.get(), events_, std::move(handler));
 }
+void Connection::let_others_go_first() {
+    always_ = EPOLLIN | EPOLLRDHUP;
+    events_ = always_ | (pending() ? EPOLLOUT : 0u);
+    loop_.change(fd_.get(), events_);
+    loop_.set_lane(fd_.get(), loop::Lane::bulk);
+}
 
 Connection::State Connection::read() {
     std::array<char, 16 * 1024> buffer;
@@ -153,7 +158,7 @@
         out_.clear();
         written_ = 0;
     }
-    std::uint32_t want = EPOLLIN | (pending() ? EPOLLOUT : 0u);
+    std::uint32_t want = always_ | (pending() ? EPOLLOUT : 0u);
     if (want != events_) {
         events_ = want;
         loop_.change(fd_.get(), want);
--- a/src/http/connection.hpp
+++ b/src/http/connection.hpp
@@ -1,6 +1,7 @@
 // A socket with a write buffer and a parser, shared by client and server.
 #pragma once
 #include <http_parser.h>
+#include <sys/epoll.h>
 
 #include <memory>
 #include <string>
@@ -32,7 +33,8 @@
     Connection& operator=(const Connection&) = delete;
 
     void listen_events(loop::Loop::Handler handler, bool connecting);
-    State read();   // fills incoming()
+    void let_others_go_first();  // and tell when the peer has closed its side
+    State read();                // fills incoming()
     State flush();  // writes what it can
     void write(std::string bytes);
     bool pending() const { return written_ < out_.size(); }
@@ -59,7 +61,7 @@
     bool in_value_ = false;
     std::string out_;
     std::size_t written_ = 0;
-    std::uint32_t events_ = 0;
+    std::uint32_t events_ = 0, always_ = EPOLLIN;
 };
 
 }  // namespace coralhitch::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -57,7 +57,7 @@
 }
 
 void Server::accept_all() {
-    for (;;) {
+    for (std::size_t k = 0; k < limits_.accepts; ++k) {
         loop::Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!fd) return;  // EAGAIN, or out of descriptors: the next event tries again
         if (clients_.size() >= limits_.connections)
@@ -101,6 +101,9 @@
         if (c.connection->flush() != Connection::State::open) return close(id);
         if (c.closing && !c.connection->pending()) return close(id);
     }
+    // Its sender has given up waiting. To read it all the same would let the next ones wait until they give up,
+    // too, and then nobody is answered in time any more.
+    if (c.bulk && (events & EPOLLRDHUP)) return close(id);
     if (!(events & (EPOLLIN | EPOLLHUP | EPOLLERR))) return;
     if (c.busy || c.closing) {
         // Readable while a request is being answered: the peer gave up, or breaks the protocol.
@@ -133,6 +136,10 @@
     Request r{std::move(in.method), std::move(in.target), std::move(in.body), std::move(in.type)};
     bool keep = in.keep_alive;
     c.busy = true;
+    if (!c.bulk && limits_.bulk && limits_.bulk(r.target)) {
+        c.bulk = true;
+        c.connection->let_others_go_first();
+    }
     arm(id, c, limits_.idle_s);
     std::weak_ptr<Server*> alive = alive_;
     handler_(std::move(r), [alive, id, keep](Response response) {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <functional>
 #include <unordered_map>
 
 #include "http/connection.hpp"
@@ -12,6 +13,11 @@
     double request_s = 10;  // a request must be complete this long after its first byte
     double idle_s = 120;
     double keep_share = 0.9;  // above this share of the connections none is kept open
+    std::size_t accepts = 16;  // at once, in between other events
+    // Requests that wait for others when there is more to do than can be done, by their path. A connection
+    // that has carried one is taken for such a peer's from then on: when the peer closes it, what it sent last
+    // is not read any more.
+    std::function<bool(const std::string& path)> bulk;
 };
 
 class Server {
@@ -25,7 +31,7 @@
         std::unique_ptr<Connection> connection;
         loop::TimerId timer = 0;
         double timer_due = 0, deadline = 0;
-        bool busy = false, closing = false, started = false;
+        bool busy = false, closing = false, started = false, bulk = false;
     };
     void accept_all();
     void on_event(std::uint64_t id, std::uint32_t events);
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -5,10 +5,10 @@
 #include <time.h>
 #include <unistd.h>
 
-#include <array>
 #include <cerrno>
 #include <cmath>
 #include <system_error>
+#include <utility>
 
 namespace coralhitch::loop {
 namespace {
@@ -17,6 +17,8 @@
     clock_gettime(id, &t);
     return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) * 1e-9;
 }
+// Few of the bulk at a time, so that timers, the lease's renewal among them, wait for little work.
+constexpr std::size_t most_events = 1024, most_bulk = 16;
 [[noreturn]] void fail(const char* what) {
     throw std::system_error(errno, std::generic_category(), what);
 }
@@ -27,7 +29,10 @@
     fd_ = fd;
 }
 
-Loop::Loop() : epoll_(epoll_create1(EPOLL_CLOEXEC)), wake_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+Loop::Loop()
+    : epoll_(epoll_create1(EPOLL_CLOEXEC)),
+      wake_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+      events_(most_events) {
     if (!epoll_) fail("epoll_create1");
     if (!wake_) fail("eventfd");
     refresh();
@@ -61,7 +66,7 @@
     due_.erase(it);
 }
 void Loop::watch(int fd, std::uint32_t events, Handler handler) {
-    auto w = std::make_shared<Watched>(Watched{std::move(handler), ++generation_});
+    auto w = std::make_shared<Watched>(Watched{std::move(handler), ++generation_, Lane::urgent, 0});
     epoll_event e{};
     e.events = events;
     e.data.fd = fd;
@@ -74,6 +79,9 @@
     e.data.fd = fd;
     if (epoll_ctl(epoll_.get(), EPOLL_CTL_MOD, fd, &e) < 0) fail("epoll_ctl mod");
 }
+void Loop::set_lane(int fd, Lane lane) {
+    watched_.at(fd)->lane = lane;
+}
 void Loop::unwatch(int fd) {
     epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
     watched_.erase(fd);
@@ -101,28 +109,47 @@
         node.mapped()();
     }
 }
+// All that is ready is asked for: what is urgent is handled now, what is bulk stands in line, once each.
+void Loop::wait(int wait_ms) {
+    int n = epoll_wait(epoll_.get(), events_.data(), static_cast<int>(events_.size()), wait_ms);
+    if (n < 0 && errno != EINTR) fail("epoll_wait");
+    refresh();
+    // A handler may close a descriptor whose number is used again within this round; the generation tells an
+    // event of the old one from the new one's.
+    std::uint64_t round = generation_;
+    for (int i = 0; i < n; ++i) {
+        auto& e = events_[static_cast<std::size_t>(i)];
+        auto it = watched_.find(e.data.fd);
+        if (it == watched_.end() || it->second->generation > round) continue;
+        auto keep = it->second;
+        if (keep->lane == Lane::urgent) {
+            keep->handler(e.events);
+        } else {
+            if (keep->ready == 0) bulk_.push_back(e.data.fd);
+            keep->ready |= e.events;
+        }
+    }
+}
+void Loop::run_bulk() {
+    for (std::size_t k = 0; k < most_bulk && !bulk_.empty(); ++k) {
+        auto it = watched_.find(bulk_.front());
+        bulk_.pop_front();
+        // Closed meanwhile, and perhaps its number used again: that one stands in line itself.
+        if (it == watched_.end() || it->second->ready == 0) continue;
+        auto keep = it->second;
+        keep->handler(std::exchange(keep->ready, 0));
+    }
+}
 void Loop::run() {
-    // Few at a time, so that timers, the lease's renewal among them, wait for little work.
-    std::array<epoll_event, 32> events{};
     while (!stopped_) {
-        int wait_ms = -1;
-        if (!timers_.empty()) {
+        int wait_ms = bulk_.empty() ? -1 : 0;
+        if (wait_ms != 0 && !timers_.empty()) {
             refresh();
             double left = timers_.begin()->first.first - now_;
             wait_ms = left <= 0 ? 0 : static_cast<int>(std::min(std::ceil(left * 1000), 60000.0));
         }
-        int n = epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), wait_ms);
-        if (n < 0 && errno != EINTR) fail("epoll_wait");
-        refresh();
-        // A handler may close a descriptor whose number is used again within this round; the generation
-        // tells an event of the old one from the new one's.
-        std::uint64_t round = generation_;
-        for (int i = 0; i < n; ++i) {
-            auto it = watched_.find(events[static_cast<std::size_t>(i)].data.fd);
-            if (it == watched_.end() || it->second->generation > round) continue;
-            auto keep = it->second;
-            keep->handler(events[static_cast<std::size_t>(i)].events);
-        }
+        wait(wait_ms);
+        run_bulk();
         run_posted();
         refresh();
         run_due();
--- a/src/loop/loop.hpp
+++ b/src/loop/loop.hpp
@@ -1,5 +1,8 @@
 // The project's event loop: epoll, timers and work posted from other threads.
 #pragma once
+#include <sys/epoll.h>
+
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -33,6 +36,10 @@
     int fd_ = -1;
 };
 
+// What goes first when more is ready than the processor can do. With thousands of workers calling, the answer
+// to the lease's renewal waited behind all of them until the lease was out, and so did health checks.
+enum class Lane { urgent, bulk };
+
 class Loop : public Timers {
   public:
     using Handler = std::function<void(std::uint32_t events)>;
@@ -44,6 +51,7 @@
     void cancel(TimerId id) override;
 
     void watch(int fd, std::uint32_t events, Handler handler);
+    void set_lane(int fd, Lane lane);  // urgent until set; `fd` must be watched
     void change(int fd, std::uint32_t events);
     void unwatch(int fd);
     void post(Task task);  // from any thread
@@ -54,6 +62,8 @@
     void refresh();
     void run_due();
     void run_posted();
+    void wait(int wait_ms);
+    void run_bulk();
     Fd epoll_, wake_;
     double now_ = 0;
     bool stopped_ = false;
@@ -63,8 +73,12 @@
     struct Watched {
         Handler handler;
         std::uint64_t generation;
+        Lane lane;
+        std::uint32_t ready;  // bulk: events that wait for their turn
     };
     std::unordered_map<int, std::shared_ptr<Watched>> watched_;
+    std::vector<epoll_event> events_;
+    std::deque<int> bulk_;  // descriptors with `ready` set, the first one that became so in front
     std::uint64_t generation_ = 0;
     std::mutex mutex_;
     std::vector<Task> posted_;
