Reports are read with simdjson, commands go out a few at a time, settling is counted

Cause: at four times the size trees of JSON values took a third of the processor, and a plan's thousand starts sent in one go held up the lease's renewal. Change: reports are read without a tree; 16 machines are told per turn of the loop; only machines that earlier leaders stored hold up placing.

--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -105,6 +105,7 @@
         auto& m = picture_.add(id, r.addr, r.type, r.zone, r.spot,
                                r.condemned ? Machine::Life::condemned : Machine::Life::up, now());
         m.stored = true;
+        unsettled_.insert(id);
         m.deletable = r.condemned;
         heard_from(zone_of(m));
         // The leader before may have gone on renewing leases for a while.
@@ -247,15 +248,14 @@
     return out;
 }
 
-// Asked after each report of a takeover: walking all machines each time cost as much as the reports.
+// Asked after each report of a takeover, and for each plan: machines that have settled leave the list for good.
 bool Leader::all_settled() const {
-    auto& all = picture_.machines();
-    if (auto it = all.find(unsettled_); it != all.end() && !it->second.settled && it->second.stored)
-        return false;
-    auto it = std::find_if(all.begin(), all.end(),
-                           [](auto& m) { return !m.second.settled && m.second.stored; });
-    unsettled_ = it == all.end() ? "" : it->first;
-    return it == all.end();
+    while (!unsettled_.empty()) {
+        auto it = picture_.machines().find(*unsettled_.begin());
+        if (it != picture_.machines().end() && !it->second.settled) return false;
+        unsettled_.erase(unsettled_.begin());
+    }
+    return true;
 }
 
 void Leader::tick() {
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -94,6 +94,7 @@
     std::optional<std::string> better_place(fleet::Machine& m);
     void recall(const std::string& id);
     void flush_all();
+    void flush_some();
     void flush(fleet::Machine& m);
     void probe(fleet::Machine& m);
     void send_probes();
@@ -171,7 +172,7 @@
 
     std::deque<std::pair<std::string, http::Reply>> early_;  // reports that came before the jobs were loaded
     std::uint64_t attempts_ = 0, rentals_made_ = 0;
-    std::deque<std::string> to_probe_;
+    std::deque<std::string> to_probe_, flushing_;
     std::size_t probing_ = 0;
     double direct_heard_ = -1;  // when a machine last answered a direct command
     std::map<std::string, Rental> rentals_;
@@ -184,11 +185,14 @@
     double plan_took_ = 0;
     double last_plan_ = -1, last_capacity_ = -1, last_list_ = -1, remove_retry_ = 0;
     bool listed_once_ = false;
+    wire::ReportReader reader_;
     hearing::Lent lent_;
     hearing::Memory memory_;  // of machines that report here
     std::uint64_t repeated_ = 0;
     std::size_t up_ = 0, moved_ = 0;  // machines that are up; how many were sent elsewhere since the last tick
-    mutable std::string unsettled_;   // a machine that had not settled when last looked at
+    // Stored by earlier leaders and, when last looked at, not settled: nothing is placed while there are any.
+    // What this leader stores itself held nothing before, as far as an earlier one can have started it.
+    mutable std::set<std::string> unsettled_;
     double slowest_boot_ = 4;         // lately, in nominal boot times
     std::map<std::string, double> lost_routes_;  // until when the machines that came by it are waited for
     std::vector<double> zone_heard_;  // by zone: when a machine there was last heard, or known to be up
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "daemon/leader.hpp"
 
@@ -24,6 +25,8 @@
 // Fewer machines than this share heard lately, in a fleet of at least so many: the leader hears nobody.
 constexpr double deaf_share = 1.0 / 8;
 constexpr std::size_t deaf_fleet = 16;
+// A worker that is well lets no more time pass between two reports.
+constexpr double late_reports = 1.25;
 // How long a worker takes to turn to another controller: its timeout, a pause and a report.
 constexpr double turn_reports = 2;
 constexpr double sick_reports = 20;
@@ -31,6 +34,7 @@
 // long again as the slowest lately took. Each that comes up lets an older, slower one be forgotten by so
 // much.
 constexpr double usual_boots = 2, most_boots = 8, boots_kept = 0.95, overdue_ratio = 1.5;
+constexpr std::size_t flushes_at_once = 16;
 constexpr double dark_reports = 2, dark_leases = 4;
 // Of the machines that are up: how many report to the leader itself while others hear for it; how many it
 // sends to them in a tick; and for how many leases a machine is not sent again.
@@ -86,7 +90,7 @@
     bool may = authority();
     wire::Report report;
     try {
-        report = wire::parse_report(body);
+        report = reader_.read(body);
     } catch (const wire::Malformed& x) {
         spdlog::info("report: {}", x.what());
         return {400, wire::error_body(x.what()), false};
@@ -331,10 +335,22 @@
         std::lock_guard lock(mutex_);
         ids = picture_.to_flush();
     }
+    bool idle = flushing_.empty();
     for (auto& id : ids) {
         recall(id);
-        if (auto* m = picture_.find(id)) flush(*m);
+        flushing_.push_back(std::move(id));
     }
+    if (idle) flush_some();
+}
+// A few at a time: a plan may start a thousand tasks, and to send them all in one go took so long that the
+// lease ran out meanwhile.
+void Leader::flush_some() {
+    for (std::size_t k = 0; k < flushes_at_once && !flushing_.empty(); ++k) {
+        auto* m = picture_.find(flushing_.front());
+        flushing_.pop_front();
+        if (m) flush(*m);
+    }
+    if (!flushing_.empty()) c_.timers.after(0, guarded([this] { flush_some(); }));
 }
 void Leader::flush(Machine& m) {
     std::vector<wire::Command> commands;
@@ -394,7 +410,7 @@
     bool first_session = false;
     if (executed || refused) direct_heard_ = now();
     if (executed || refused) try {
-            auto report = wire::parse_report(r->body);
+            auto report = reader_.read(r->body);
             auto* before = picture_.find(id);
             first_session = before && before->session < report.session;
             if (report.machine == id) hear(report, fleet::Via::direct);
@@ -448,22 +464,25 @@
 void Leader::check_routes(double wait, double deaf_s) {
     struct Route {
         std::size_t up = 0, heard = 0;
-        double longest = 0;
+        double longest = 0, shortest = std::numeric_limits<double>::max();
     };
     std::map<std::string, Route> routes;
-    double t = now();
+    double t = now(), late = c_.settings.report_s * late_reports;
     for (auto& [id, m] : picture_.machines()) {
         if (m.life != Machine::Life::up || !m.settled) continue;
         auto& r = routes[m.route];
         ++r.up;
         r.heard += t - m.last_heard < deaf_s;
         r.longest = std::max(r.longest, t - m.last_heard);
+        r.shortest = std::min(r.shortest, t - m.last_heard);
     }
     std::erase_if(lost_routes_, [&](auto& l) { return l.second < t; });
-    for (auto& [label, r] : routes)
-        if (r.longest > deaf_s && r.up >= deaf_fleet / 2 &&
-            static_cast<double>(r.heard) < static_cast<double>(r.up) * deaf_share)
-            lost_routes_[label] = t + wait + c_.settings.report_s * turn_reports;
+    for (auto& [label, r] : routes) {
+        bool many = r.longest > deaf_s && r.up >= deaf_fleet / 2 &&
+                    static_cast<double>(r.heard) < static_cast<double>(r.up) * deaf_share;
+        bool few = r.up > 1 && r.shortest > late;
+        if (many || few) lost_routes_[label] = t + wait + c_.settings.report_s * turn_reports;
+    }
 }
 
 void Leader::check_machines() {
--- a/src/hearing/hearer.cpp
+++ b/src/hearing/hearer.cpp
@@ -13,7 +13,7 @@
 constexpr double retry_reports = 1.0 / 5;  // after one that failed
 // A worker waits longer than its controller does for the leader: the answer must still find it waiting.
 constexpr double patience_share = 0.5;
-constexpr std::size_t most_reports = 256;       // in a message
+constexpr std::size_t most_reports = 96;        // in a message: the leader reads them in one go
 constexpr double message_share = 1.0 / 128;     // of the memory: what a message may hold
 // Read in full again after so many worker leases, whatever is repeated: what would otherwise hang on one
 // mistaken answer for ever is mended.
--- /dev/null
+++ b/src/wire/names.hpp
@@ -0,0 +1,58 @@
+// The words that the protocol uses for values of ours. For the sources of this package only.
+#pragma once
+#include <array>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "wire/protocol.hpp"
+
+namespace coralhitch::wire {
+
+// Strings that are stored or used in keys stay short, so that no record can pass the state service's limit.
+inline constexpr std::size_t max_text = 512;
+
+template <class E, std::size_t N>
+using Names = std::array<std::pair<E, std::string_view>, N>;
+
+inline constexpr Names<Kind, 3> kind_names{
+    {{Kind::array, "batch"}, {Kind::gang, "gang"}, {Kind::service, "service"}}};
+inline constexpr Names<Priority, 4> priority_names{{{Priority::production, "critical"},
+                                             {Priority::high, "high"},
+                                             {Priority::normal, "normal"},
+                                             {Priority::low, "idle"}}};
+inline constexpr Names<JobState, 4> job_state_names{{{JobState::queued, "pending"},
+                                              {JobState::running, "running"},
+                                              {JobState::done, "done"},
+                                              {JobState::cancelled, "withdrawn"}}};
+inline constexpr Names<TaskState, 5> task_state_names{{{TaskState::fetching, "fetching"},
+                                                {TaskState::waiting, "waiting"},
+                                                {TaskState::running, "running"},
+                                                {TaskState::saving, "flushing"},
+                                                {TaskState::exited, "exited"}}};
+inline constexpr Names<Cause, 8> cause_names{{{Cause::done, "done"},
+                                       {Cause::stopped, "halted"},
+                                       {Cause::peers, "mates_gone"},
+                                       {Cause::alone, "incomplete"},
+                                       {Cause::error, "error"},
+                                       {Cause::no_room, "no_room"},
+                                       {Cause::busy, "busy"},
+                                       {Cause::unknown, "unknown"}}};
+inline constexpr Names<Op, 3> op_names{{{Op::start, "run"}, {Op::stop, "kill"}, {Op::forget, "clear"}}};
+inline constexpr Names<HostState, 3> host_state_names{
+    {{HostState::booting, "booting"}, {HostState::running, "running"}, {HostState::failed, "failed"}}};
+
+template <class E, std::size_t N>
+std::string_view name_of(const Names<E, N>& names, E e) {
+    for (auto& [value, name] : names)
+        if (value == e) return name;
+    return {};
+}
+template <class E, std::size_t N>
+E named(const Names<E, N>& names, const std::string& text, const char* field) {
+    for (auto& [value, name] : names)
+        if (name == text) return value;
+    throw Malformed(std::string("field '") + field + "' has an unknown value");
+}
+
+}  // namespace coralhitch::wire
--- a/src/wire/protocol.cpp
+++ b/src/wire/protocol.cpp
@@ -6,54 +6,13 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "wire/names.hpp"
+
 namespace coralhitch::wire {
 using nlohmann::json;
 
 namespace {
 
-template <class E, std::size_t N>
-using Names = std::array<std::pair<E, std::string_view>, N>;
-
-constexpr Names<Kind, 3> kind_names{
-    {{Kind::array, "batch"}, {Kind::gang, "gang"}, {Kind::service, "service"}}};
-constexpr Names<Priority, 4> priority_names{{{Priority::production, "critical"},
-                                             {Priority::high, "high"},
-                                             {Priority::normal, "normal"},
-                                             {Priority::low, "idle"}}};
-constexpr Names<JobState, 4> job_state_names{{{JobState::queued, "pending"},
-                                              {JobState::running, "running"},
-                                              {JobState::done, "done"},
-                                              {JobState::cancelled, "withdrawn"}}};
-constexpr Names<TaskState, 5> task_state_names{{{TaskState::fetching, "fetching"},
-                                                {TaskState::waiting, "waiting"},
-                                                {TaskState::running, "running"},
-                                                {TaskState::saving, "flushing"},
-                                                {TaskState::exited, "exited"}}};
-constexpr Names<Cause, 8> cause_names{{{Cause::done, "done"},
-                                       {Cause::stopped, "halted"},
-                                       {Cause::peers, "mates_gone"},
-                                       {Cause::alone, "incomplete"},
-                                       {Cause::error, "error"},
-                                       {Cause::no_room, "no_room"},
-                                       {Cause::busy, "busy"},
-                                       {Cause::unknown, "unknown"}}};
-constexpr Names<Op, 3> op_names{{{Op::start, "run"}, {Op::stop, "kill"}, {Op::forget, "clear"}}};
-constexpr Names<HostState, 3> host_state_names{
-    {{HostState::booting, "booting"}, {HostState::running, "running"}, {HostState::failed, "failed"}}};
-
-template <class E, std::size_t N>
-std::string_view name_of(const Names<E, N>& names, E e) {
-    for (auto& [value, name] : names)
-        if (value == e) return name;
-    return {};
-}
-template <class E, std::size_t N>
-E named(const Names<E, N>& names, const std::string& text, const char* field) {
-    for (auto& [value, name] : names)
-        if (name == text) return value;
-    throw Malformed(std::string("field '") + field + "' has an unknown value");
-}
-
 [[noreturn]] void bad(const char* field, const char* what) {
     throw Malformed(std::string("field '") + field + "' " + what);
 }
@@ -73,8 +32,6 @@
     if (!v) bad(field, "is missing");
     return *v;
 }
-// Strings that are stored or used in keys stay short, so that no record can pass the state service's limit.
-constexpr std::size_t max_text = 512;
 std::string text(const json& j, const char* field) {
     auto& v = need(j, field);
     if (!v.is_string()) bad(field, "is not a string");
@@ -119,15 +76,6 @@
     return out;
 }
 
-TaskId parse_task_id(const std::string& s) {
-    auto slash = s.rfind('/');
-    if (slash == std::string::npos) bad("shard", "is not a task id");
-    TaskId id{s.substr(0, slash), 0};
-    auto [end, ec] = std::from_chars(s.data() + slash + 1, s.data() + s.size(), id.index);
-    if (ec != std::errc() || end != s.data() + s.size()) bad("shard", "is not a task id");
-    return id;
-}
-
 json commands_json(std::span<const Command> commands) {
     json out = json::array();
     for (auto& c : commands) {
@@ -270,39 +218,6 @@
     return dumped(json{{"error", t}});
 }
 
-Report parse_report(std::string_view body) {
-    json j = parse_object(body);
-    Report r;
-    r.machine = text(j, "berth");
-    r.addr = text(j, "addr");
-    r.type = text(j, "hull");
-    r.zone = text(j, "reef");
-    r.spot = flag(j, "driftwood");
-    r.session = count(j, "watch");
-    r.sequence = count(j, "tally");
-    r.token = count(j, "helm");
-    if (auto* v = find(j, "warning_s")) {
-        if (!v->is_number()) bad("warning_s", "is not a number");
-        r.notice_s = v->get<double>();
-    }
-    for (auto& e : list(j, "shards")) {
-        if (!e.is_object()) bad("shards", "holds something that is not an object");
-        TaskReport t;
-        t.task = parse_task_id(text(e, "shard"));
-        t.attempt = count(e, "launch");
-        t.state = named(task_state_names, text(e, "status"), "status");
-        // A cause this program doesn't know still is an end of the task.
-        if (t.state == TaskState::exited) {
-            t.cause = Cause::error;
-            if (auto* c = find(e, "cause"); c && c->is_string())
-                for (auto& [value, name] : cause_names)
-                    if (name == c->get_ref<const std::string&>()) t.cause = value;
-        }
-        if (auto* s = find(e, "saved"); s && s->is_boolean()) t.saved = s->get<bool>();
-        r.tasks.push_back(std::move(t));
-    }
-    return r;
-}
 std::optional<ReportOutline> outline_report(std::string_view body) {
     constexpr std::string_view machine_field = "\"berth\":", sequence_field = "\"tally\":";
     auto value_at = [&](std::string_view field) {
--- a/src/wire/protocol.hpp
+++ b/src/wire/protocol.hpp
@@ -1,5 +1,6 @@
 // Every outside message: parse and serialise. Only protocol.cpp knows the protocol's own names.
 #pragma once
+#include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <span>
 #include <stdexcept>
@@ -51,6 +52,17 @@
 inline constexpr double worker_patience_s = 4;  // a worker drops answers to its reports after that
 inline constexpr double worker_turns_s = worker_patience_s + 1;  // and has then turned to the next controller
 Report parse_report(std::string_view body);
+// The same for many reports: keeps its buffers.
+class ReportReader {
+  public:
+    ReportReader();
+    ~ReportReader();
+    Report read(std::string_view body);  // throws Malformed
+
+  private:
+    struct Parser;
+    std::unique_ptr<Parser> parser_;
+};
 // What tells two reports of a machine apart that say the same: where the sequence stands in the text. Found
 // without reading the rest; nothing if the text is laid out in a way that this does not expect.
 struct ReportOutline {
