A machine is overdue only if others are heard the way it came

Change: a due machine whose way brought no later report since it became late gets the time to turn to another controller; this replaces the shares and counts of the check before.

--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -107,7 +107,7 @@
     void stop_active(const std::string& id, jobs::Entry& e, double grace_s);
     void check_machine(fleet::Machine& m, bool fence, double wait);
     void check_machines();
-    void check_routes(double wait, double deaf_s);
+    const std::map<std::string, double>& lost_routes(double wait);
     void heard_from(std::size_t zone);
     bool dark(std::size_t zone) const;
     double boot_s(const fleet::Machine& m) const;
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 #include "daemon/leader.hpp"
 
@@ -460,29 +459,23 @@
 // When a controller that hears machines ends or is cut off from them, or the leader is from those that report
 // to itself, they turn to another within some seconds. Fewer than a third of the fleet, they used to be
 // fenced before: 390 machines that were well, replicas on them, when a leader lost its workers while the
-// others went on hearing for it.
-void Leader::check_routes(double wait, double deaf_s) {
-    struct Route {
-        std::size_t up = 0, heard = 0;
-        double longest = 0, shortest = std::numeric_limits<double>::max();
-    };
-    std::map<std::string, Route> routes;
-    double t = now(), late = c_.settings.report_s * late_reports;
+// others went on hearing for it. So a machine is overdue only if others are heard the way it came.
+const std::map<std::string, double>& Leader::lost_routes(double wait) {
+    const auto& s = c_.settings;
+    double t = now();
+    std::map<std::string, double> latest;
     for (auto& [id, m] : picture_.machines()) {
         if (m.life != Machine::Life::up || !m.settled) continue;
-        auto& r = routes[m.route];
-        ++r.up;
-        r.heard += t - m.last_heard < deaf_s;
-        r.longest = std::max(r.longest, t - m.last_heard);
-        r.shortest = std::min(r.shortest, t - m.last_heard);
+        auto& l = latest[m.route];
+        l = std::max(l, m.last_heard);
     }
     std::erase_if(lost_routes_, [&](auto& l) { return l.second < t; });
-    for (auto& [label, r] : routes) {
-        bool many = r.longest > deaf_s && r.up >= deaf_fleet / 2 &&
-                    static_cast<double>(r.heard) < static_cast<double>(r.up) * deaf_share;
-        bool few = r.up > 1 && r.shortest > late;
-        if (many || few) lost_routes_[label] = t + wait + c_.settings.report_s * turn_reports;
+    for (auto& [id, m] : picture_.machines()) {
+        if (m.life != Machine::Life::up || !m.settled || t - m.last_heard <= wait) continue;
+        if (latest[m.route] <= m.last_heard + s.report_s * late_reports)
+            lost_routes_[m.route] = t + s.report_s * turn_reports;
     }
+    return lost_routes_;
 }
 
 void Leader::check_machines() {
@@ -515,7 +508,7 @@
     if (deaf)
         for (auto& [id, m] : picture_.machines())
             if (m.life == Machine::Life::up && t - m.last_heard >= deaf_s) silent_ids.insert(id);
-    check_routes(wait, deaf_s);
+    auto& lost = lost_routes(wait);
     bool fence = authority();
     // Nothing is placed while a machine is unsettled, and one that is well answers a direct command at once.
     // Not so if this leader reaches none itself, and hears only what others pass on: a worker may try every
@@ -543,7 +536,7 @@
         fence = fence && elsewhere && *elsewhere * 2 < silent_ids.size();
     }
     for (auto& [id, m] : picture_.machines()) {
-        double turn = lost_routes_.contains(m.route) ? s.report_s * turn_reports : 0;
+        double turn = lost.contains(m.route) ? s.report_s * turn_reports : 0;
         check_machine(m, fence, m.settled ? wait + turn : unsettled_wait);
     }
 }
@@ -589,7 +582,8 @@
 // later leader keeps to it.
 void Leader::condemn(Machine& m, const char* why) {
     if (m.life == Machine::Life::condemned) return;
-    spdlog::info("machine {} {}: it is to be deleted, {} tasks on it", m.id, why, m.tasks.size());
+    spdlog::info("machine {} {}: it is to be deleted, {} tasks on it, last heard through {}", m.id, why,
+                 m.tasks.size(), m.route.empty() ? c_.settings.label : m.route);
     c_.metrics.event("condemned");
     m.life = Machine::Life::condemned;
     if (!m.stored && !m.storing) {
