Probes and early reports go a few in each turn of the loop

Cause: at four times the size a new leader asked 1,400 machines in one go, and lost its lease over it; leadership went round every three seconds. Change: 16 probes a turn; those that were heard meanwhile are left out; so are early reports heard 16 a turn.

--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -152,9 +152,18 @@
     spdlog::info("leader: loaded {} jobs and {} machines", table_.all().size(), picture_.machines().size());
     read_ends();
     for (auto& [id, m] : picture_.machines()) probe(m);
-    for (auto& [body, reply] : std::exchange(early_, {})) hello(std::move(body), std::move(reply));
+    hear_early();
     tick();
 }
+void Leader::hear_early() {
+    constexpr std::size_t at_once = 16;
+    for (std::size_t k = 0; k < at_once && !early_.empty(); ++k) {
+        auto [body, reply] = std::move(early_.front());
+        early_.pop_front();
+        hello(std::move(body), std::move(reply));
+    }
+    if (!early_.empty()) c_.timers.after(0, guarded([this] { hear_early(); }));
+}
 
 void Leader::take_job(const std::string& id, std::uint64_t version, const std::string& value) {
     try {
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -97,7 +97,9 @@
     void flush_some();
     void flush(fleet::Machine& m);
     void probe(fleet::Machine& m);
+    void probe_soon();
     void send_probes();
+    void hear_early();
     void send_direct(fleet::Machine& m, std::vector<wire::Command> commands);
     void answered(const std::string& id, const std::vector<wire::Command>& commands, std::uint64_t token,
                   const std::optional<http::Response>& r);
@@ -174,6 +176,7 @@
     std::uint64_t attempts_ = 0, rentals_made_ = 0;
     std::deque<std::string> to_probe_, flushing_;
     std::size_t probing_ = 0;
+    bool probes_armed_ = false;
     double direct_heard_ = -1;  // when a machine last answered a direct command
     std::map<std::string, Rental> rentals_;
     std::map<std::size_t, double> refused_;  // pools without capacity, until when
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -371,19 +371,33 @@
     if (m.probing) return;
     m.probing = true;
     to_probe_.push_back(m.id);
-    send_probes();
+    probe_soon();
 }
+void Leader::probe_soon() {
+    if (std::exchange(probes_armed_, true)) return;
+    c_.timers.after(0, guarded([this] {
+                        probes_armed_ = false;
+                        send_probes();
+                    }));
+}
+// A few in each turn of the loop: a new leader of 5,000 machines that asked an eighth of its sockets' worth of
+// them in one go lost its lease over it, and so did the next.
 void Leader::send_probes() {
     auto most = static_cast<std::size_t>(std::max(1.0, c_.settings.sockets * probe_sockets));
-    while (probing_ < most && !to_probe_.empty()) {
-        auto id = std::move(to_probe_.front());
+    for (std::size_t k = 0; k < flushes_at_once && probing_ < most && !to_probe_.empty();) {
+        auto* m = picture_.find(to_probe_.front());
         to_probe_.pop_front();
-        auto* m = picture_.find(id);
         if (!m) continue;
+        if (m->settled && now() - m->last_heard < c_.settings.report_s / 2) {
+            m->probing = false;  // it has been heard meanwhile
+            continue;
+        }
         m->last_probe = now();
         ++probing_;
+        ++k;
         send_direct(*m, {});
     }
+    if (probing_ < most && !to_probe_.empty()) probe_soon();
 }
 void Leader::send_direct(Machine& m, std::vector<wire::Command> commands) {
     auto token = m.token;
@@ -400,7 +414,7 @@
                          if (auto* m = picture_.find(id)) m->probing = false;
                      }
                      answered(id, commands, token, r);
-                     if (probe) send_probes();
+                     if (probe && !to_probe_.empty()) probe_soon();
                  }));
 }
 void Leader::answered(const std::string& id, const std::vector<wire::Command>& commands, std::uint64_t token,
