Three lanes in the loop: other controllers and the store, users, workers

Cause: one turn could hold 155 new connections and direct answers of machines, 1.2 s of wall time at four times the size; two such turns cost the lease. Change: users and new connections are served 32 a turn, workers and their direct answers 16, all else as it comes.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -41,12 +41,14 @@
     http::ClientLimits client_limits;
     client_limits.connections = static_cast<std::size_t>(settings.sockets * 0.25);
     client_limits.response = static_cast<std::size_t>(settings.memory_mb * 1024 * 1024 / 8);
+    client_limits.bulk = [](const std::string& path) { return path == wire::paths::commands; };
     http::Client client(loop, client_limits);
     daemon::ThreadPlanner planner(loop);
     std::random_device device;
     std::uint64_t seed = (std::uint64_t{device()} << 32) ^ device();
     daemon::Controller controller(loop, client, settings, planner, seed);
     auto user_limits = server_limits(settings, 0.7);
+    user_limits.lane = loop::Lane::ordinary;
     user_limits.bulk = [](const std::string& path) { return path == wire::paths::report; };
     http::Server users(
         loop, settings.listen, std::move(user_limits),
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -55,6 +55,7 @@
         c.connection = std::make_unique<Connection>(loop_, std::move(fd), HTTP_RESPONSE,
                                                     Limits{limits_.response, 64 * 1024});
         c.connection->listen_events([this, id](std::uint32_t e) { on_event(id, e); }, true);
+        if (limits_.bulk && limits_.bulk(request.target)) c.connection->set_lane(loop::Lane::bulk);
     }
     auto& c = calls_.at(id);
     c.idle = false;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -12,6 +12,8 @@
     std::size_t connections = 500;  // above this, requests fail at once
     std::size_t idle_per_addr = 4;
     double idle_s = 60;
+    // Requests whose answers wait for others when there is more to do than can be done, by their path.
+    std::function<bool(const std::string& path)> bulk = {};
 };
 
 // Keeps connections open for reuse. One request is on a connection at a time.
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -101,11 +101,10 @@
     events_ = connecting ? always_ | EPOLLOUT : always_;
     loop_.watch(fd_.get(), events_, std::move(handler));
 }
-void Connection::let_others_go_first() {
+void Connection::tell_when_closed() {
     always_ = EPOLLIN | EPOLLRDHUP;
     events_ = always_ | (pending() ? EPOLLOUT : 0u);
     loop_.change(fd_.get(), events_);
-    loop_.set_lane(fd_.get(), loop::Lane::bulk);
 }
 
 Connection::State Connection::read() {
--- a/src/http/connection.hpp
+++ b/src/http/connection.hpp
@@ -33,8 +33,9 @@
     Connection& operator=(const Connection&) = delete;
 
     void listen_events(loop::Loop::Handler handler, bool connecting);
-    void let_others_go_first();  // and tell when the peer has closed its side
-    State read();                // fills incoming()
+    void set_lane(loop::Lane lane) { loop_.set_lane(fd_.get(), lane); }
+    void tell_when_closed();  // events tell when the peer has closed its side
+    State read();             // fills incoming()
     State flush();  // writes what it can
     void write(std::string bytes);
     bool pending() const { return written_ < out_.size(); }
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -17,8 +17,8 @@
     clock_gettime(id, &t);
     return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) * 1e-9;
 }
-// Few of the bulk at a time, so that timers, the lease's renewal among them, wait for little work.
-constexpr std::size_t most_events = 1024, most_bulk = 16;
+// Few at a time, so that timers, the lease's renewal among them, wait for little work.
+constexpr std::size_t most_events = 1024, most_ordinary = 32, most_bulk = 16;
 [[noreturn]] void fail(const char* what) {
     throw std::system_error(errno, std::generic_category(), what);
 }
@@ -109,7 +109,7 @@
         node.mapped()();
     }
 }
-// All that is ready is asked for: what is urgent is handled now, what is bulk stands in line, once each.
+// All that is ready is asked for: what is urgent is handled now, the rest stands in line, once each.
 void Loop::wait(int wait_ms) {
     int n = epoll_wait(epoll_.get(), events_.data(), static_cast<int>(events_.size()), wait_ms);
     if (n < 0 && errno != EINTR) fail("epoll_wait");
@@ -125,15 +125,15 @@
         if (keep->lane == Lane::urgent) {
             keep->handler(e.events);
         } else {
-            if (keep->ready == 0) bulk_.push_back(e.data.fd);
+            if (keep->ready == 0) (keep->lane == Lane::bulk ? bulk_ : ordinary_).push_back(e.data.fd);
             keep->ready |= e.events;
         }
     }
 }
-void Loop::run_bulk() {
-    for (std::size_t k = 0; k < most_bulk && !bulk_.empty(); ++k) {
-        auto it = watched_.find(bulk_.front());
-        bulk_.pop_front();
+void Loop::run_lane(std::deque<int>& line, std::size_t most) {
+    for (std::size_t k = 0; k < most && !line.empty(); ++k) {
+        auto it = watched_.find(line.front());
+        line.pop_front();
         // Closed meanwhile, and perhaps its number used again: that one stands in line itself.
         if (it == watched_.end() || it->second->ready == 0) continue;
         auto keep = it->second;
@@ -142,14 +142,15 @@
 }
 void Loop::run() {
     while (!stopped_) {
-        int wait_ms = bulk_.empty() ? -1 : 0;
+        int wait_ms = ordinary_.empty() && bulk_.empty() ? -1 : 0;
         if (wait_ms != 0 && !timers_.empty()) {
             refresh();
             double left = timers_.begin()->first.first - now_;
             wait_ms = left <= 0 ? 0 : static_cast<int>(std::min(std::ceil(left * 1000), 60000.0));
         }
         wait(wait_ms);
-        run_bulk();
+        run_lane(ordinary_, most_ordinary);
+        run_lane(bulk_, most_bulk);
         run_posted();
         refresh();
         run_due();
--- a/src/loop/loop.hpp
+++ b/src/loop/loop.hpp
@@ -38,7 +38,8 @@
 
 // What goes first when more is ready than the processor can do. With thousands of workers calling, the answer
 // to the lease's renewal waited behind all of them until the lease was out, and so did health checks.
-enum class Lane { urgent, bulk };
+// Urgent is handled as it comes; of the others some have their turn after that, ordinary ones more than bulk.
+enum class Lane { urgent, ordinary, bulk };
 
 class Loop : public Timers {
   public:
@@ -63,7 +64,7 @@
     void run_due();
     void run_posted();
     void wait(int wait_ms);
-    void run_bulk();
+    void run_lane(std::deque<int>& line, std::size_t most);
     Fd epoll_, wake_;
     double now_ = 0;
     bool stopped_ = false;
@@ -74,11 +75,11 @@
         Handler handler;
         std::uint64_t generation;
         Lane lane;
-        std::uint32_t ready;  // bulk: events that wait for their turn
+        std::uint32_t ready;  // events that wait for their turn
     };
     std::unordered_map<int, std::shared_ptr<Watched>> watched_;
     std::vector<epoll_event> events_;
-    std::deque<int> bulk_;  // descriptors with `ready` set, the first one that became so in front
+    std::deque<int> ordinary_, bulk_;  // descriptors with `ready` set, the first one that became so in front
     std::uint64_t generation_ = 0;
     std::mutex mutex_;
     std::vector<Task> posted_;
