Tests: lanes have their turns; a report whose worker has left is not served

Need: the guards against a loop that is held up had no case. Change: a loop with 120 ready descriptors, and a sender that leaves, bulk and not.

--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -136,5 +136,68 @@
     }
 }
 
+// With more ready than a turn handles: what is urgent goes first, users before workers, and a timer that is
+// due waits for one turn only.
+TEST(Loop, LanesHaveTheirTurns) {
+    loop::Loop l;
+    struct End {
+        loop::Fd in, out;
+    };
+    std::vector<End> ends;
+    std::string order;
+    constexpr std::size_t each = 40;
+    for (auto [lane, letter] : {std::pair(loop::Lane::bulk, 'b'), std::pair(loop::Lane::ordinary, 'o'),
+                                std::pair(loop::Lane::urgent, 'u')})
+        for (std::size_t k = 0; k < each; ++k) {
+            int fds[2];
+            ASSERT_EQ(::pipe(fds), 0);
+            auto& e = ends.emplace_back(End{loop::Fd(fds[0]), loop::Fd(fds[1])});
+            ASSERT_EQ(::write(e.out.get(), "x", 1), 1);
+            l.watch(fds[0], EPOLLIN, [&, fd = fds[0], letter](std::uint32_t) {
+                char byte;
+                EXPECT_EQ(::read(fd, &byte, 1), 1);
+                order += letter;
+                if (order.find('t') != std::string::npos && order.size() == 3 * each + 1) l.stop();
+            });
+            l.set_lane(fds[0], lane);
+        }
+    l.after(0, [&] { order += 't'; });
+    l.after(20, [&] { l.stop(); });
+    l.run();
+    auto times = [](std::size_t n, char c) { return std::string(n, c); };
+    EXPECT_EQ(order, times(40, 'u') + times(32, 'o') + times(16, 'b') + "t" + times(8, 'o') +
+                         times(16, 'b') + times(8, 'b'));
+}
+// What a worker gave up on is not read: served in turn, each would be too late, and so all that come after.
+TEST(Http, ABulkRequestWhoseSenderHasLeftIsNotServed) {
+    for (bool bulk : {true, false}) {
+        Bench b;
+        b.limits.bulk = [&](const std::string& path) { return bulk && path == "/x"; };
+        b.serve();
+        loop::Fd fd(::socket(AF_INET, SOCK_STREAM, 0));
+        auto sa = socket_address(b.addr);
+        ASSERT_EQ(::connect(fd.get(), reinterpret_cast<sockaddr*>(&*sa), sizeof *sa), 0);
+        const std::string request = "POST /x HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}";
+        auto send = [&] {
+            ASSERT_EQ(::send(fd.get(), request.data(), request.size(), MSG_NOSIGNAL),
+                      static_cast<ssize_t>(request.size()));
+        };
+        send();
+        std::function<void()> gone = [&] {
+            if (b.server->connections() == 0) return b.loop.stop();
+            b.loop.after(0, gone);
+        };
+        b.loop.watch(fd.get(), EPOLLIN, [&](std::uint32_t) {
+            b.loop.unwatch(fd.get());
+            send();
+            fd.reset();
+            gone();
+        });
+        b.run();
+        EXPECT_EQ(b.server->connections(), 0u);
+        EXPECT_EQ(b.served, bulk ? 1u : 2u);
+    }
+}
+
 }  // namespace
 }  // namespace coralhitch::http
