Test: a machine is quiet only if nothing is left to say to it

Need: a hearer would go on answering a machine that had something to be told. Change: a table of twelve states, each clause of the check with a case.

--- a/tests/picture_test.cpp
+++ b/tests/picture_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+
 namespace coralhitch::fleet {
 namespace {
 using wire::Cause;
@@ -67,6 +69,57 @@
     EXPECT_DOUBLE_EQ(b.machine().free().gpus, 3);
 }
 
+// Another controller may go on answering a machine for which nothing is to be said. Each of these would be
+// left unsaid for as long as its reports repeat.
+TEST(Picture, AMachineIsQuietOnlyIfNothingIsLeftToSay) {
+    struct Case {
+        const char* what;
+        std::function<void(Bench&)> then;
+        bool quiet;
+    };
+    const Case cases[] = {
+        {"a task runs, and was shown", [](Bench&) {}, true},
+        {"nothing is on it", [](Bench& b) { b.machine().tasks.clear(); }, true},
+        {"another task was placed, not told yet",
+         [](Bench& b) { b.picture.place(b.machine(), {"j-1", 1}, b.spec, 6, 0); }, false},
+        {"a start was told, its answer is missing",
+         [](Bench& b) {
+             b.picture.place(b.machine(), {"j-1", 1}, b.spec, 6, 0);
+             b.picture.direct_now(b.machine(), 0, true);
+         },
+         false},
+        {"a task is to stop",
+         [](Bench& b) {
+             b.picture.stop(b.machine(), task, 0);
+             b.picture.direct_now(b.machine(), 0, true);
+         },
+         false},
+        {"a task of a job that nobody knows", [](Bench& b) { b.machine().tasks.begin()->second.spec = nullptr; },
+         false},
+        {"an end that the worker may forget soon",
+         [](Bench& b) {
+             b.on[0].state = TaskState::exited;
+             b.on[0].cause = Cause::done;
+             b.hear(b.base());
+         },
+         false},
+        {"a higher token that it has not seen", [](Bench& b) { ++b.machine().token; }, false},
+        {"it is to be deleted", [](Bench& b) { b.machine().life = Machine::Life::condemned; }, false},
+        {"it has notice", [](Bench& b) { b.machine().notice_until = 9; }, false},
+        {"it has not settled", [](Bench& b) { b.machine().settled = false; }, false},
+        {"it is not stored yet", [](Bench& b) { b.machine().stored = false; }, false},
+    };
+    for (auto& c : cases) {
+        Bench b;
+        auto sent = b.run();
+        b.picture.direct_done(b.machine(), sent, b.base(), true);
+        b.on = {{task, 5, TaskState::running, Cause::none, false}};
+        b.hear(b.base());
+        c.then(b);
+        EXPECT_EQ(b.picture.quiet(b.machine()), c.quiet) << c.what;
+    }
+}
+
 TEST(Picture, AnUnwantedRunIsFencedWithAHigherToken) {
     Bench b;
     auto sent = b.run();
