--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -257,7 +257,8 @@
     return out;
 }
 
-// Asked after each report of a takeover, and for each plan: machines that have settled leave the list for good.
+// Asked after each report of a takeover, and for each plan: machines that have settled leave the list for
+// good.
 bool Leader::all_settled() const {
     while (!unsettled_.empty()) {
         auto it = picture_.machines().find(*unsettled_.begin());
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -192,11 +192,12 @@
     hearing::Lent lent_;
     hearing::Memory memory_;  // of machines that report here
     std::uint64_t repeated_ = 0;
-    std::size_t up_ = 0, moved_ = 0;  // machines that are up; how many were sent elsewhere since the last tick
+    std::size_t up_ = 0,
+                moved_ = 0;  // machines that are up; how many were sent elsewhere since the last tick
     // Stored by earlier leaders and, when last looked at, not settled: nothing is placed while there are any.
     // What this leader stores itself held nothing before, as far as an earlier one can have started it.
     mutable std::set<std::string> unsettled_;
-    double slowest_boot_ = 4;         // lately, in nominal boot times
+    double slowest_boot_ = 4;                    // lately, in nominal boot times
     std::map<std::string, double> lost_routes_;  // until when the machines that came by it are waited for
     std::vector<double> zone_heard_;  // by zone: when a machine there was last heard, or known to be up
     std::deque<double> fenced_;       // when machines were fenced for silence
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -163,7 +163,8 @@
     a.grant_ms = static_cast<std::uint64_t>(grant * 1000);
     a.recalled = lent_.answer(q.label, now() + grant * (1 + 2 * state::drift));
     a.share = static_cast<std::uint64_t>(static_cast<double>(up_) * (1 - own_share) /
-                                         static_cast<double>(s.peers.size())) + 1;
+                                         static_cast<double>(s.peers.size())) +
+              1;
     send();
 }
 
@@ -380,8 +381,8 @@
                         send_probes();
                     }));
 }
-// A few in each turn of the loop: a new leader of 5,000 machines that asked an eighth of its sockets' worth of
-// them in one go lost its lease over it, and so did the next.
+// A few in each turn of the loop: a new leader of 5,000 machines that asked an eighth of its sockets' worth
+// of them in one go lost its lease over it, and so did the next.
 void Leader::send_probes() {
     auto most = static_cast<std::size_t>(std::max(1.0, c_.settings.sockets * probe_sockets));
     for (std::size_t k = 0; k < flushes_at_once && probing_ < most && !to_probe_.empty();) {
@@ -393,6 +394,7 @@
             continue;
         }
         m->last_probe = now();
+        if (m->asked < 0) m->asked = now();
         ++probing_;
         ++k;
         send_direct(*m, {});
@@ -582,6 +584,9 @@
         plan_soon();
     }
     if (m.life != Machine::Life::up) return;
+    // The early fence presumes that the machine was asked and did not answer; with many to ask, some are asked
+    // late.
+    if (!m.settled) silent = std::min(silent, m.asked < 0 ? silent - s.report_s * turn_reports : t - m.asked);
     if (silent > wait && (fence || (lease_over && authority()))) {
         std::lock_guard lock(mutex_);
         fenced_.push_back(t);
--- a/src/fleet/picture.hpp
+++ b/src/fleet/picture.hpp
@@ -56,10 +56,11 @@
     bool deleting = false;
     std::uint64_t session = 0, sequence = 0, hello_sequence = 0, helm = 0, token = 0;
     double created = 0, last_heard = 0, last_probe = -1, idle_since = 0;
-    double renewed = 0;  // last moment at which a controller may have renewed the worker's lease
+    double renewed = 0;      // last moment at which a controller may have renewed the worker's lease
     double lent_until = -1;  // last moment at which a hearer that gave it back may have renewed its lease
     std::string route;       // the controller through which its last report came; empty: the leader itself
     double moved = -1;       // when it was last sent to another controller
+    double asked = -1;  // when this leader first asked it for a report
     double notice_until = -1;
     bool probing = false;
     std::map<wire::TaskId, Instance> tasks;
--- a/src/hearing/hearer.cpp
+++ b/src/hearing/hearer.cpp
@@ -8,13 +8,14 @@
 namespace coralhitch::hearing {
 namespace {
 // Ratios to the report period.
-constexpr double gap_reports = 1.0 / 60;   // between two messages, so that reports come together
-constexpr double idle_reports = 1.0 / 10;  // a message goes at least so often: recalls and grants come with it
+constexpr double gap_reports = 1.0 / 60;  // between two messages, so that reports come together
+constexpr double idle_reports =
+    1.0 / 10;  // a message goes at least so often: recalls and grants come with it
 constexpr double retry_reports = 1.0 / 5;  // after one that failed
 // A worker waits longer than its controller does for the leader: the answer must still find it waiting.
 constexpr double patience_share = 0.5;
-constexpr std::size_t most_reports = 96;        // in a message: the leader reads them in one go
-constexpr double message_share = 1.0 / 128;     // of the memory: what a message may hold
+constexpr std::size_t most_reports = 96;     // in a message: the leader reads them in one go
+constexpr double message_share = 1.0 / 128;  // of the memory: what a message may hold
 // Read in full again after so many worker leases, whatever is repeated: what would otherwise hang on one
 // mistaken answer for ever is mended.
 constexpr double memory_leases = 4;
@@ -22,11 +23,7 @@
 
 Hearer::Hearer(loop::Timers& timers, http::Requester& http, const config::Settings& settings,
                std::uint64_t incarnation, std::function<Leadership()> lead)
-    : timers_(timers),
-      http_(http),
-      settings_(settings),
-      incarnation_(incarnation),
-      lead_(std::move(lead)) {}
+    : timers_(timers), http_(http), settings_(settings), incarnation_(incarnation), lead_(std::move(lead)) {}
 Hearer::~Hearer() = default;
 
 void Hearer::start() {
--- a/src/hearing/hearer.hpp
+++ b/src/hearing/hearer.hpp
@@ -7,8 +7,8 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <string>
 #include <memory>
+#include <string>
 #include <unordered_map>
 
 #include "config/settings.hpp"
--- a/src/hearing/lent.hpp
+++ b/src/hearing/lent.hpp
@@ -46,7 +46,8 @@
         std::uint64_t incarnation = 0, number = 0;
         double grant_until = -1;
         std::size_t machines = 0;
-        std::deque<std::pair<std::uint64_t, std::string>> recalls;  // each first told with this number or later
+        std::deque<std::pair<std::uint64_t, std::string>>
+            recalls;  // each first told with this number or later
     };
     std::map<std::string, Hearer> hearers_;
     std::unordered_map<std::string, std::string> lent_;  // machine to hearer
--- a/src/http/connection.hpp
+++ b/src/http/connection.hpp
@@ -36,7 +36,7 @@
     void set_lane(loop::Lane lane) { loop_.set_lane(fd_.get(), lane); }
     void tell_when_closed();  // events tell when the peer has closed its side
     State read();             // fills incoming()
-    State flush();  // writes what it can
+    State flush();            // writes what it can
     void write(std::string bytes);
     bool pending() const { return written_ < out_.size(); }
     Incoming& incoming() { return in_; }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -102,8 +102,8 @@
         if (c.connection->flush() != Connection::State::open) return close(id);
         if (c.closing && !c.connection->pending()) return close(id);
     }
-    // Its sender has given up waiting. To read it all the same would let the next ones wait until they give up,
-    // too, and then nobody is answered in time any more.
+    // Its sender has given up waiting. To read it all the same would let the next ones wait until they give
+    // up, too, and then nobody is answered in time any more.
     if (c.bulk && (events & EPOLLRDHUP)) return close(id);
     if (!(events & (EPOLLIN | EPOLLHUP | EPOLLERR))) return;
     if (c.busy || c.closing) {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -12,12 +12,12 @@
     std::size_t connections = 1000;
     double request_s = 10;  // a request must be complete this long after its first byte
     double idle_s = 120;
-    double keep_share = 0.9;  // above this share of the connections none is kept open
+    double keep_share = 0.9;   // above this share of the connections none is kept open
     std::size_t accepts = 16;  // at once, in between other events
     loop::Lane lane = loop::Lane::urgent;
     // Requests that wait for others when there is more to do than can be done, by their path. A connection
-    // that has carried one is taken for such a peer's from then on: when the peer closes it, what it sent last
-    // is not read any more.
+    // that has carried one is taken for such a peer's from then on: when the peer closes it, what it sent
+    // last is not read any more.
     std::function<bool(const std::string& path)> bulk = {};
 };
 
--- a/src/wire/names.hpp
+++ b/src/wire/names.hpp
@@ -18,26 +18,26 @@
 inline constexpr Names<Kind, 3> kind_names{
     {{Kind::array, "batch"}, {Kind::gang, "gang"}, {Kind::service, "service"}}};
 inline constexpr Names<Priority, 4> priority_names{{{Priority::production, "critical"},
-                                             {Priority::high, "high"},
-                                             {Priority::normal, "normal"},
-                                             {Priority::low, "idle"}}};
+                                                    {Priority::high, "high"},
+                                                    {Priority::normal, "normal"},
+                                                    {Priority::low, "idle"}}};
 inline constexpr Names<JobState, 4> job_state_names{{{JobState::queued, "pending"},
-                                              {JobState::running, "running"},
-                                              {JobState::done, "done"},
-                                              {JobState::cancelled, "withdrawn"}}};
+                                                     {JobState::running, "running"},
+                                                     {JobState::done, "done"},
+                                                     {JobState::cancelled, "withdrawn"}}};
 inline constexpr Names<TaskState, 5> task_state_names{{{TaskState::fetching, "fetching"},
-                                                {TaskState::waiting, "waiting"},
-                                                {TaskState::running, "running"},
-                                                {TaskState::saving, "flushing"},
-                                                {TaskState::exited, "exited"}}};
+                                                       {TaskState::waiting, "waiting"},
+                                                       {TaskState::running, "running"},
+                                                       {TaskState::saving, "flushing"},
+                                                       {TaskState::exited, "exited"}}};
 inline constexpr Names<Cause, 8> cause_names{{{Cause::done, "done"},
-                                       {Cause::stopped, "halted"},
-                                       {Cause::peers, "mates_gone"},
-                                       {Cause::alone, "incomplete"},
-                                       {Cause::error, "error"},
-                                       {Cause::no_room, "no_room"},
-                                       {Cause::busy, "busy"},
-                                       {Cause::unknown, "unknown"}}};
+                                              {Cause::stopped, "halted"},
+                                              {Cause::peers, "mates_gone"},
+                                              {Cause::alone, "incomplete"},
+                                              {Cause::error, "error"},
+                                              {Cause::no_room, "no_room"},
+                                              {Cause::busy, "busy"},
+                                              {Cause::unknown, "unknown"}}};
 inline constexpr Names<Op, 3> op_names{{{Op::start, "run"}, {Op::stop, "kill"}, {Op::forget, "clear"}}};
 inline constexpr Names<HostState, 3> host_state_names{
     {{HostState::booting, "booting"}, {HostState::running, "running"}, {HostState::failed, "failed"}}};
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -165,8 +165,8 @@
     l.after(20, [&] { l.stop(); });
     l.run();
     auto times = [](std::size_t n, char c) { return std::string(n, c); };
-    EXPECT_EQ(order, times(40, 'u') + times(32, 'o') + times(16, 'b') + "t" + times(8, 'o') +
-                         times(16, 'b') + times(8, 'b'));
+    EXPECT_EQ(order, times(40, 'u') + times(32, 'o') + times(16, 'b') + "t" + times(8, 'o') + times(16, 'b') +
+                         times(8, 'b'));
 }
 // What a worker gave up on is not read: served in turn, each would be too late, and so all that come after.
 TEST(Http, ABulkRequestWhoseSenderHasLeftIsNotServed) {
--- a/tests/picture_test.cpp
+++ b/tests/picture_test.cpp
@@ -81,7 +81,10 @@
         {"a task runs, and was shown", [](Bench&) {}, true},
         {"nothing is on it", [](Bench& b) { b.machine().tasks.clear(); }, true},
         {"another task was placed, not told yet",
-         [](Bench& b) { b.picture.place(b.machine(), {"j-1", 1}, b.spec, 6, 0); }, false},
+         [](Bench& b) {
+             b.picture.place(b.machine(), {"j-1", 1}, b.spec, 6, 0);
+         },
+         false},
         {"a start was told, its answer is missing",
          [](Bench& b) {
              b.picture.place(b.machine(), {"j-1", 1}, b.spec, 6, 0);
@@ -94,8 +97,8 @@
              b.picture.direct_now(b.machine(), 0, true);
          },
          false},
-        {"a task of a job that nobody knows", [](Bench& b) { b.machine().tasks.begin()->second.spec = nullptr; },
-         false},
+        {"a task of a job that nobody knows",
+         [](Bench& b) { b.machine().tasks.begin()->second.spec = nullptr; }, false},
         {"an end that the worker may forget soon",
          [](Bench& b) {
              b.on[0].state = TaskState::exited;
