--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -52,7 +52,6 @@
     // Reports that another controller heard: each is answered as if it had come here.
     void relay(const wire::PeerRelay& m, http::Reply reply);
     std::size_t lent() const { return lent_.count(); }
-    std::uint64_t repeated() const { return repeated_; }
     std::optional<api::TaskCounts> counts(const std::string& id);
     std::vector<wire::PeerCount> all_counts();
     wire::PeerImages images() const;
@@ -191,7 +190,6 @@
     wire::ReportReader reader_;
     hearing::Lent lent_;
     hearing::Memory memory_;  // of machines that report here
-    std::uint64_t repeated_ = 0;
     std::size_t up_ = 0,
                 moved_ = 0;  // machines that are up; how many were sent elsewhere since the last tick
     // Stored by earlier leaders and, when last looked at, not settled: nothing is placed while there are any.
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -78,7 +78,6 @@
     m->route.clear();
     heard_from(zone_of(*m));
     recall(m->id);
-    ++repeated_;
     reply({200, r->answer});
     return true;
 }
@@ -162,9 +161,6 @@
     double grant = std::max(0.0, std::min({s.report_s, keep_alive_, left}));
     a.grant_ms = static_cast<std::uint64_t>(grant * 1000);
     a.recalled = lent_.answer(q.label, now() + grant * (1 + 2 * state::drift));
-    a.share = static_cast<std::uint64_t>(static_cast<double>(up_) * (1 - own_share) /
-                                         static_cast<double>(s.peers.size())) +
-              1;
     send();
 }
 
--- a/src/hearing/hearer.cpp
+++ b/src/hearing/hearer.cpp
@@ -39,7 +39,6 @@
     leader_ = std::move(now);
     link_ = leader_.addr.empty() ? Link::down : Link::trying;
     granted_until_ = -1;
-    share_ = 0;
     memory_.clear();
     heard_.clear();
     // Those that wait have been read by nobody: the next leader may as well take them.
@@ -148,7 +147,6 @@
     for (auto& machine : a->recalled) memory_.forget(machine);
     taken_in_ = number;
     granted_until_ = sent + static_cast<double>(a->grant_ms) / 1000 * (1 - 2 * state::drift);
-    share_ = a->share;
     if (!waiting_.empty()) soon();
 }
 
--- a/src/hearing/hearer.hpp
+++ b/src/hearing/hearer.hpp
@@ -37,8 +37,6 @@
     void start();
     // Takes a report and will answer it, or leaves both arguments as they are and returns false.
     bool offer(std::string& body, http::Reply& reply);
-    // Whether there are more machines here than the leader wants to be.
-    bool full() const { return share_ > 0 && memory_.size() >= share_; }
 
     std::uint64_t repeated() const { return repeated_; }  // reports answered here
     std::uint64_t relayed() const { return relayed_; }    // reports that went to the leader
@@ -80,7 +78,7 @@
     std::unordered_map<std::string, double> heard_;  // answered here since the last message, and when
     bool busy_ = false, armed_ = false;
     double last_sent_ = -1;
-    std::uint64_t number_ = 0, taken_in_ = 0, share_ = 0;
+    std::uint64_t number_ = 0, taken_in_ = 0;
     std::uint64_t repeated_ = 0, relayed_ = 0, dropped_ = 0;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/src/wire/names.hpp
+++ b/src/wire/names.hpp
@@ -12,6 +12,10 @@
 // Strings that are stored or used in keys stay short, so that no record can pass the state service's limit.
 inline constexpr std::size_t max_text = 512;
 
+[[noreturn]] inline void bad(const char* field, const char* what) {
+    throw Malformed(std::string("field '") + field + "' " + what);
+}
+
 template <class E, std::size_t N>
 using Names = std::array<std::pair<E, std::string_view>, N>;
 
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -104,8 +104,7 @@
     std::uint64_t grant_ms = 0;         // counted from the sending of what this answers
     std::vector<PeerRelayed> answers;   // of each report
     std::vector<std::string> recalled;  // machines whose next report must come here; applied last
-    std::uint64_t share = 0;            // machines that the hearer should keep; others may come to it
-    MSGPACK_DEFINE(leads, ready, grant_ms, answers, recalled, share)
+    MSGPACK_DEFINE(leads, ready, grant_ms, answers, recalled)
 };
 
 template <class T>
--- a/src/wire/protocol.cpp
+++ b/src/wire/protocol.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-[[noreturn]] void bad(const char* field, const char* what) {
-    throw Malformed(std::string("field '") + field + "' " + what);
-}
 
 json parse_object(std::string_view body) {
     json j = json::parse(body, nullptr, false);
--- a/src/wire/reports.cpp
+++ b/src/wire/reports.cpp
@@ -13,9 +13,6 @@
 using simdjson::dom::element;
 using simdjson::dom::object;
 
-[[noreturn]] void bad(const char* field, const char* what) {
-    throw Malformed(std::string("field '") + field + "' " + what);
-}
 // Absent and null are the same.
 bool find(const object& o, const char* field, element& out) {
     return o.at_key(field).get(out) == simdjson::SUCCESS && !out.is_null();
