A slow new leader fences no machine whose answer it has not read

Cause: after a takeover of a large fleet the answers of machines that are well wait for the new leader's processor. It counted them as silent from the moment they were asked, fenced those that came last, or thought itself deaf and gave way to the next one. Besides, an answer that lay in the socket when its time was up was thrown away and asked for again.

The client reads a connection before it gives its request up.

Both tests were seen to fail without the change.

--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -108,6 +108,8 @@
     void stop_active(const std::string& id, jobs::Entry& e, double grace_s);
     void check_machine(fleet::Machine& m, bool fence, double wait);
     void check_machines();
+    double silence(const fleet::Machine& m) const;
+    void note_pace();
     const std::map<std::string, double>& lost_routes(double wait);
     void heard_from(std::size_t zone);
     bool dark(std::size_t zone) const;
@@ -195,7 +197,9 @@
     // Stored by earlier leaders and, when last looked at, not settled: nothing is placed while there are any.
     // What this leader stores itself held nothing before, as far as an earlier one can have started it.
     mutable std::set<std::string> unsettled_;
-    double slowest_boot_ = 4;                    // lately, in nominal boot times
+    std::pair<std::size_t, double> paced_{SIZE_MAX, -1};  // unsettled machines when last counted, and when
+    double pace_at_ = -1;                                 // when the settling was last seen to go on
+    double slowest_boot_ = 4;                             // lately, in nominal boot times
     std::map<std::string, double> lost_routes_;  // until when the machines that came by it are waited for
     std::vector<double> zone_heard_;  // by zone: when a machine there was last heard, or known to be up
     std::deque<double> fenced_;       // when machines were fenced for silence
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -61,12 +61,20 @@
     c.idle = false;
     c.result = std::move(result);
     loop_.cancel(c.timer);
-    c.timer = loop_.after(timeout_s, [this, id] { finish(id, std::nullopt, false); });
+    c.timer = loop_.after(timeout_s, [this, id, number = ++c.number] { too_late(id, number); });
     c.connection->write(std::move(out));
     if (!fresh && c.connection->flush() != Connection::State::open)
         loop_.after(0, [this, id] { finish(id, std::nullopt, false); });
 }
 
+// An answer that waits for its turn in the bulk lane has come. Given up unread, it was asked for again: a new
+// leader of thousands of machines had most of its questions answered for nothing.
+void Client::too_late(std::uint64_t id, std::uint64_t number) {
+    on_event(id, EPOLLIN);
+    auto it = calls_.find(id);
+    if (it != calls_.end() && it->second.number == number) finish(id, std::nullopt, false);
+}
+
 void Client::drop(std::uint64_t id) {
     auto it = calls_.find(id);
     if (it == calls_.end()) return;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -29,10 +29,12 @@
         std::unique_ptr<Connection> connection;
         Result result;
         loop::TimerId timer = 0;
+        std::uint64_t number = 0;  // of requests, so far
         bool idle = false;
         std::list<std::uint64_t>::iterator in_order;  // while idle
     };
     void on_event(std::uint64_t id, std::uint32_t events);
+    void too_late(std::uint64_t id, std::uint64_t number);
     void finish(std::uint64_t id, std::optional<Response> r, bool reuse);
     void drop(std::uint64_t id);
     bool make_place();
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -199,5 +199,43 @@
     }
 }
 
+// The answer lies in the socket when the time is up, since others had their turn first: it is not given up.
+TEST(Http, AnAnswerThatHasComeIsReadThoughItsTimeIsUp) {
+    Bench b;
+    loop::Fd listener(::socket(AF_INET, SOCK_STREAM, 0));
+    auto sa = socket_address(b.addr);
+    ASSERT_EQ(::bind(listener.get(), reinterpret_cast<sockaddr*>(&*sa), sizeof *sa), 0);
+    ASSERT_EQ(::listen(listener.get(), 1), 0);
+    Client client(b.loop, {});
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+    loop::Fd peer;
+    auto respond = [&] {
+        char buffer[4096];
+        ASSERT_GT(::recv(peer.get(), buffer, sizeof buffer, 0), 0);
+        ASSERT_EQ(::send(peer.get(), answer.data(), answer.size(), 0), static_cast<ssize_t>(answer.size()));
+    };
+    std::optional<Response> second;
+    client.send(b.addr, {"GET", "/1", {}}, 10, [&](std::optional<Response> first) {
+        EXPECT_TRUE(first);
+        // Over the same connection, and answered before the loop looks; then the time is up at once.
+        client.send(b.addr, {"GET", "/2", {}}, 0, [&](std::optional<Response> r) {
+            second = std::move(r);
+            b.loop.stop();
+        });
+        respond();
+    });
+    b.loop.watch(listener.get(), EPOLLIN, [&](std::uint32_t) {
+        peer = loop::Fd(::accept(listener.get(), nullptr, nullptr));
+        b.loop.unwatch(listener.get());
+        b.loop.watch(peer.get(), EPOLLIN, [&](std::uint32_t) {
+            b.loop.unwatch(peer.get());
+            respond();
+        });
+    });
+    b.run();
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->body, "hi");
+}
+
 }  // namespace
 }  // namespace coralhitch::http
--- a/tests/standin.cpp
+++ b/tests/standin.cpp
@@ -129,6 +129,7 @@
     n.controller =
         std::make_unique<daemon::Controller>(*n.timers, *n.http, n.settings, *n.planner, random_());
     n.up = true;
+    n.busy_until = now_;
     n.controller->start();
 }
 void World::crash(std::size_t k, double back_after) {
@@ -176,14 +177,16 @@
         if (std::exchange(*done, true)) return;
         result(std::move(answer));
     };
+    // What has come and was not read yet is read when the time is up.
+    auto come = std::make_shared<std::optional<http::Response>>();
     for (auto& n : nodes_)
-        if (n.settings.listen == from) n.timers->after(timeout, [end] { end(std::nullopt); });
+        if (n.settings.listen == from) n.timers->after(timeout, [end, come] { end(std::move(*come)); });
     auto sender = from;
-    auto back = [this, end, sender, to](http::Response answer) {
+    auto back = [this, end, sender, to, come](http::Response answer) {
         bool hold = false;
         double until = 0;
         if (is_cut(host(to), host(sender), hold, until)) return;
-        at(now_ + latency(), [this, end, sender, answer = std::move(answer)] {
+        at(now_ + latency(), [this, end, sender, to, come, answer = std::move(answer)] {
             for (auto& n : nodes_) {
                 if (n.settings.listen != sender) continue;
                 if (!n.up) return;
@@ -191,6 +194,10 @@
                     n.timers->after(0, [end, answer] { end(answer); });
                     return;
                 }
+                if (to.rfind("10.1.", 0) == 0) {
+                    *come = answer;
+                    return in_turn(n, [end, answer] { end(answer); });
+                }
             }
             end(answer);
         });
@@ -223,6 +230,8 @@
             });
         }
         if (to == n.settings.peer_listen) return n.controller->serve_peer(std::move(r), std::move(reply));
+        if (r.target == wire::paths::report)
+            return in_turn(n, [&n, r, reply] { n.controller->serve(r, reply); });
         return n.controller->serve(std::move(r), std::move(reply));
     }
     for (auto& w : workers) {
@@ -237,6 +246,13 @@
     }
 }
 
+// Messages of workers take time to read and wait for each other; what else comes does not wait for them.
+void World::in_turn(Node& n, loop::Task task) {
+    if (options_.hear_s <= 0) return task();
+    n.busy_until = std::max(now_, n.busy_until) + options_.hear_s;
+    n.timers->after(n.busy_until - now_, std::move(task));
+}
+
 // --- State service --------------------------------------------------------------------------------------
 
 json World::events(const std::string& prefix, std::uint64_t since) const {
@@ -401,6 +417,7 @@
         for (auto& id : body["berths"])
             for (auto& w : workers)
                 if (w->id == id) {
+                    if (!w->dead && now_ >= w->up_at) ++deleted;
                     w->dead = true;
                     w->tasks.clear();
                 }
--- a/tests/standin.hpp
+++ b/tests/standin.hpp
@@ -73,6 +73,7 @@
     std::unique_ptr<InlinePlanner> planner;
     std::unique_ptr<daemon::Controller> controller;
     bool up = false;
+    double busy_until = 0;  // with what workers sent
 };
 
 // What a user was told about a job.
@@ -91,6 +92,7 @@
     double gpus_max = 12;
     double boot_s = 1;       // what a machine takes; the nominal time is 5 s
     bool hearing = true;     // controllers that do not lead hear workers for the one that does
+    double hear_s = 0;       // what a controller takes for each message of a worker; the next ones wait
     bool old_pings = false;  // what controllers say of themselves is as the version before says it
     // The state service's limits, and what they fall to without notice, if they do.
     double value_kb = 16, next_value_kb = 16;
@@ -146,6 +148,7 @@
     std::map<std::string, Told> jobs;
     std::vector<std::unique_ptr<Worker>> workers;
     std::size_t starts = 0;
+    std::size_t deleted = 0;                   // machines, while they were up
     std::map<std::string, std::size_t> reads;  // of each key at the state service
 
   private:
@@ -172,6 +175,7 @@
     void rule(const std::string& what) { broken.push_back(std::to_string(now_) + " " + what); }
     double latency() { return std::uniform_real_distribution<double>(0.001, 0.008)(random_); }
     void boot(std::size_t node);
+    void in_turn(Node& n, loop::Task task);
     void deliver(const std::string& from, const std::string& to, http::Request r, http::Reply reply);
     bool is_cut(const std::string& a, const std::string& b, bool& hold, double& until) const;
     static std::string host(const std::string& addr) { return addr.substr(0, addr.find(':')); }
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -225,6 +225,30 @@
     }
 }
 
+// A new leader that hears machines more slowly than it could fence them: their answers wait unread, which is
+// no fault of theirs. It used to delete those that came last.
+TEST(Takeover, ASlowLeaderFencesNone) {
+    spdlog::set_level(spdlog::level::off);
+    for (std::uint64_t seed : {1, 2, 3}) {
+        Options o;
+        o.seed = seed;
+        o.machines = 90;
+        o.hear_s = 0.025;
+        World w(o);
+        for (std::size_t k = 0; k < 70; ++k)
+            w.at(2, [&w, k] {
+                w.submit("j-" + std::to_string(k + 1), "service", 4, 0, {{"driftwood", false}});
+            });
+        for (double t : {50.0, 75.0, 100.0}) w.at(t, [&w] { w.crash(lead(w), 3); });
+        w.run_until(49);
+        auto before = w.starts, gone = w.deleted;
+        w.run_until(130);
+        EXPECT_EQ(w.deleted, gone);
+        EXPECT_EQ(w.starts, before);
+        for (auto& b : w.broken) ADD_FAILURE() << b;
+    }
+}
+
 // A job submitted with a mistake costs its own tasks once, and a probe now and then; others are not held up.
 TEST(Takeover, AJobThatFailsEverywhereIsTriedOneTaskAtATime) {
     spdlog::set_level(spdlog::level::off);
