A warm standby: the others take in each start before it is sent

Need: after the leader's end nothing was placed until each stored machine had answered or was proven gone: 6.2 s for one dead machine of 1,500.

Change: the leader tells the others what each of its machines may hold, as rows that replace each other, and stores who has taken them in. A start is sent once all whom the record names, or a write under way may name, have taken in a row that shows it; one that lags is taken out first, and that confirmed. A new leader that the record names, with a copy of the same leadership and no leader in between that keeps no record, knows what an unsettled machine may hold: the tasks there keep their place, and it places the rest on machines that have answered. Nothing is rented, returned or displaced before all machines that are up have answered. The election keeps the chain of leaderships it saw, and watches on from a listed revision where the leader's key is older than what the service keeps. Without a standby all is as before.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -212,6 +212,7 @@
     if (p.has_reserve_ratio()) o.reserve_ratio = range("reserve_ratio", p.reserve_ratio(), 0, 10);
     if (p.has_max_machines()) o.max_machines = p.max_machines();
     if (p.has_hearing()) o.hearing = p.hearing();
+    if (p.has_standby()) o.standby = p.standby();
     if (p.has_idle_boots()) o.idle_boots = range("idle_boots", p.idle_boots(), 0.1, 1000);
     return o;
 }
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -31,6 +31,7 @@
     std::uint32_t max_machines = 0;
     double idle_boots = 0.5;
     bool hearing = true;
+    bool standby = true;
 };
 struct Settings {
     std::string label, zone, listen, peer_listen;
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -38,7 +38,8 @@
       election_(timers, state_, settings, incarnation_, random_()),
       cloud_(timers, http, settings),
       users_(timers, state_, settings, *this),
-      hearer_(timers, http, settings, incarnation_, [this] { return hears_for(); }) {
+      hearer_(timers, http, settings, incarnation_, [this] { return hears_for(); }),
+      follower_(incarnation_) {
     for (auto& p : settings.peers) peers_[p.label].peer = p;
 }
 Controller::~Controller() {
@@ -55,12 +56,25 @@
 }
 
 void Controller::won(std::uint64_t version) {
-    Context c{timers_,     http_,
-              settings_,   state_,
-              election_,   cloud_,
-              planner_,    metrics_,
-              types_,      [this](const std::set<std::string>& m) { return heard_elsewhere(m); },
-              remembered_, [this] { return give_way(); }};
+    Context c{timers_,
+              http_,
+              settings_,
+              state_,
+              election_,
+              cloud_,
+              planner_,
+              metrics_,
+              types_,
+              [this](const std::set<std::string>& m) { return heard_elsewhere(m); },
+              remembered_,
+              [this] { return give_way(); },
+              incarnation_,
+              follower_.copy(),
+              [this](const std::string& label) {
+                  auto it = peers_.find(label);
+                  return it != peers_.end() && fresh(it->second) &&
+                         it->second.last.features >= wire::peer_features_follow;
+              }};
     heard_.clear();
     leader_ = std::make_shared<Leader>(std::move(c), version, random_());
     leader_->start();
@@ -238,6 +252,10 @@
     metrics_.gauge("reports_repeated", static_cast<double>(hearer_.repeated()));
     metrics_.gauge("reports_relayed", static_cast<double>(hearer_.relayed()));
     metrics_.gauge("reports_dropped", static_cast<double>(hearer_.dropped()));
+    metrics_.gauge("standby_rows", static_cast<double>(follower_.copy().rows.size()));
+    metrics_.gauge("standby_members", leader_ ? static_cast<double>(leader_->teller().members()) : 0);
+    metrics_.gauge("standby_pieces", leader_ ? static_cast<double>(leader_->teller().pieces()) : 0);
+    metrics_.gauge("standby_dropped", leader_ ? static_cast<double>(leader_->teller().dropped()) : 0);
     metrics_.gauge("machines_lent", leader_ ? static_cast<double>(leader_->lent()) : 0);
     metrics_.gauge("live_jobs", static_cast<double>(live.size()));
     for (auto& [what, n] : state_.changes()) metrics_.gauge("state_changes_" + what, n);
@@ -411,6 +429,10 @@
             if (leader_) return leader_->relay(*m, std::move(reply));
             return reply(packed(wire::pack_peer(wire::PeerRelayAnswer{})));
         }
+    } else if (r.target == wire::peer_fleet_path) {
+        // With its own standby switched off it has no part in that of others.
+        if (auto piece = wire::unpack_peer<wire::PeerFleet>(r.body); piece && settings_.op.standby)
+            return reply(packed(wire::pack_peer(follower_.take(std::move(*piece)))));
     } else if (r.target == wire::peer_images_path) {
         if (auto images = wire::unpack_peer<wire::PeerImages>(r.body)) {
             remembered_ = std::move(*images);
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -9,6 +9,7 @@
 #include "api/users.hpp"
 #include "daemon/leader.hpp"
 #include "hearing/hearer.hpp"
+#include "standby/copy.hpp"
 #include "wire/peer.hpp"
 
 namespace coralhitch::daemon {
@@ -84,6 +85,7 @@
     std::deque<Waiting> reports_;
     hearing::Hearer hearer_;
     bool hearing_ = false;
+    standby::Follower follower_;
     std::unordered_map<std::string, api::TaskCounts> counts_;  // from the leader's last ping
     double counted_ = -1;
     wire::PeerImages remembered_;  // from the leader, for when this one leads
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -35,7 +35,21 @@
               [this] { return authority() ? std::optional(leader_txn()) : std::nullopt; },
               [this](const std::vector<MachineStore::Record>& r) {
                   if (!stopped_) machines_stored(r);
-              }}) {}
+              }}),
+      teller_(c_.timers, c_.http, c_.settings, c_.state, version,
+              {[this](const std::string& id) { return row_of(id); },
+               [this] {
+                   std::vector<std::string> ids;
+                   for (auto& [id, m] : picture_.machines()) ids.push_back(id);
+                   return ids;
+               },
+               [this] { return authority() ? std::optional(leader_txn()) : std::nullopt; }, c_.follows,
+               [this] {
+                   if (!stopped_) release_starts();
+               }}) {
+    if (c_.settings.op.standby) picture_.hold_starts();
+    evidence_ = {c_.settings.label, c_.incarnation, version, {}, c_.election.chain(), false, {}, &c_.copy};
+}
 
 void Leader::start() {
     started_ = now();
@@ -58,7 +72,42 @@
 void Leader::retry_load() {
     c_.timers.after(c_.settings.report_s / 10, guarded([this] { load(); }));
 }
+// What is read after the claim, in this order: who followed the leader before, which leaders there were
+// since, what is stored of jobs and machines.
 void Leader::load() {
+    c_.settings.op.standby ? read_record() : list_all();
+}
+void Leader::read_record() {
+    c_.state.get(keys::standby, Rank::lease, guarded([this](state::Found f) {
+                     if (!f.ok) return retry_load();
+                     record_version_ = f.entry ? f.entry->version : 0;
+                     evidence_.record.reset();
+                     if (f.entry) try {
+                             evidence_.record = wire::parse_standby_record(f.entry->value);
+                         } catch (const wire::Malformed& x) {
+                             spdlog::error("standby: record: {}", x.what());
+                         }
+                     read_history();
+                 }));
+}
+void Leader::read_history() {
+    c_.state.watch(keys::leader, evidence_.chain.known_until, 0, guarded([this](state::Watched w) {
+                       if (w.status == state::Watched::Status::failed) return retry_load();
+                       evidence_.history = w.status == state::Watched::Status::ok;
+                       evidence_.since.clear();
+                       for (auto& e : w.events.events) {
+                           if (e.key != keys::leader || !e.value || e.version == version_) continue;
+                           bool keeps = false;
+                           try {
+                               keeps = wire::parse_leader_record(*e.value).keeps_record;
+                           } catch (const wire::Malformed&) {
+                           }
+                           evidence_.since.push_back({e.version, keeps});
+                       }
+                       list_all();
+                   }));
+}
+void Leader::list_all() {
     c_.state.list(keys::jobs, Rank::write, guarded([this](state::Listed jobs) {
                       if (!jobs.ok) return retry_load();
                       c_.state.list(keys::progress, Rank::write,
@@ -101,11 +150,17 @@
             spdlog::error("progress {}: {}", e.key, x.what());
         }
     }
+    auto wrong = standby::judge(evidence_);
+    inherits_ = c_.settings.op.standby && !wrong;
+    spdlog::info("leader: what the leader before knew is {}",
+                 inherits_ ? "taken over" : "not known: " + *wrong);
     for (auto& [id, r] : store_.load(machines)) {
         auto& m = picture_.add(id, r.addr, r.type, r.zone, r.spot,
                                r.condemned ? Machine::Life::condemned : Machine::Life::up, now());
         m.stored = true;
         unsettled_.insert(id);
+        unknown_.insert(id);
+        if (inherits_) inherit(id, m);
         m.deletable = r.condemned;
         heard_from(zone_of(m));
         // The leader before may have gone on renewing leases for a while.
@@ -113,6 +168,53 @@
     }
 }
 
+// The row says all that may be on the machine: see docs/standby.md. It is not used before it has settled.
+void Leader::inherit(const std::string& id, Machine& m) {
+    auto it = c_.copy.rows.find(id);
+    if (it == c_.copy.rows.end() || !it->second.known) return;
+    m.known = true;
+    m.session = it->second.session;
+    m.sequence = it->second.sequence;
+    for (auto& t : it->second.tasks) {
+        wire::TaskId task{t.job, t.index};
+        auto* e = table_.find(t.job);
+        picture_.inherit(m, task, e ? e->spec : nullptr, t.attempt, now());
+        handle_found(task, id);
+    }
+}
+std::optional<wire::PeerMachineRow> Leader::row_of(const std::string& id) const {
+    auto it = picture_.machines().find(id);
+    if (it == picture_.machines().end()) return wire::PeerMachineRow{id, false, true, 0, 0, {}};
+    auto& m = it->second;
+    if (m.life == Machine::Life::booting) return std::nullopt;
+    wire::PeerMachineRow row{id, m.known || m.settled, false, m.session, m.sequence, {}};
+    for (auto& [task, i] : m.tasks) row.tasks.push_back({task.job, task.index, i.attempt});
+    return row;
+}
+void Leader::tell_changes() {
+    std::vector<std::string> ids;
+    {
+        std::lock_guard lock(mutex_);
+        ids = picture_.to_tell();
+    }
+    if (c_.settings.op.standby)
+        for (auto& id : ids) teller_.changed(id);
+}
+void Leader::release_starts() {
+    {
+        std::lock_guard lock(mutex_);
+        for (; !held_.empty() && teller_.told(held_.front().mark); held_.pop_front()) {
+            auto* m = picture_.find(held_.front().machine);
+            if (!m) continue;
+            auto i = m->tasks.find(held_.front().task);
+            if (i == m->tasks.end()) continue;
+            i->second.told = true;
+            picture_.flush_later(*m);
+        }
+    }
+    flush_all();
+}
+
 wire::PeerImages Leader::images() const {
     wire::PeerImages out;
     out.names.resize(picture_.images().size());
@@ -150,6 +252,7 @@
     loaded_ = true;
     recall_images();
     spdlog::info("leader: loaded {} jobs and {} machines", table_.all().size(), picture_.machines().size());
+    if (c_.settings.op.standby) teller_.start(record_version_);
     read_ends();
     for (auto& [id, m] : picture_.machines()) probe(m);
     hear_early();
@@ -257,16 +360,26 @@
     return out;
 }
 
-// Asked after each report of a takeover, and for each plan: machines that have settled leave the list for
+// Asked after each report of a takeover, and for each plan: machines that have settled leave the lists for
 // good.
-bool Leader::all_settled() const {
-    while (!unsettled_.empty()) {
-        auto it = picture_.machines().find(*unsettled_.begin());
-        if (it != picture_.machines().end() && !it->second.settled) return false;
-        unsettled_.erase(unsettled_.begin());
+bool Leader::leave_list(std::set<std::string>& ids, const fleet::Picture& p, bool (*leaves)(const Machine&)) {
+    while (!ids.empty()) {
+        auto it = p.machines().find(*ids.begin());
+        if (it != p.machines().end() && !leaves(it->second)) return false;
+        ids.erase(ids.begin());
     }
     return true;
 }
+// Of each machine it is known what may be on it, from its report or from the leader before.
+bool Leader::may_place() const {
+    return leave_list(unknown_, picture_, [](const Machine& m) { return m.settled || m.known; });
+}
+// Each machine that may still answer has answered. Until then the picture lacks most of the room that there
+// is: nothing is rented, returned or displaced for want of it.
+bool Leader::all_heard() const {
+    return leave_list(unsettled_, picture_,
+                      [](const Machine& m) { return m.settled || m.life != Machine::Life::up; });
+}
 
 void Leader::tick() {
     if (stopped_) return;
@@ -279,6 +392,8 @@
     if (!authority()) return;
     store_progress();
     store_.flush();
+    tell_changes();
+    teller_.tick();
     delete_condemned();
     drop_keys();
     if (now() - last_list_ > c_.settings.list_lag_s / 2) list_hosts();
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -20,6 +20,8 @@
 #include "hearing/memory.hpp"
 #include "jobs/table.hpp"
 #include "placement/placement.hpp"
+#include "standby/checks.hpp"
+#include "standby/teller.hpp"
 #include "state/election.hpp"
 #include "wire/peer.hpp"
 
@@ -40,6 +42,9 @@
     std::function<std::optional<std::size_t>(const std::set<std::string>&)> heard_elsewhere;
     const wire::PeerImages& remembered;  // what the leader before told of the machines' caches
     std::function<bool()> give_way;      // whether to resign for it; noted if so
+    std::uint64_t incarnation;
+    const standby::Copy& copy;                              // of what the leader before knew of its machines
+    std::function<bool(const std::string& label)> follows;  // whether it can take what this one knows
 };
 
 class Leader : public std::enable_shared_from_this<Leader> {
@@ -52,6 +57,7 @@
     // Reports that another controller heard: each is answered as if it had come here.
     void relay(const wire::PeerRelay& m, http::Reply reply);
     std::size_t lent() const { return lent_.count(); }
+    const standby::Teller& teller() const { return teller_; }
     std::optional<api::TaskCounts> counts(const std::string& id);
     std::vector<wire::PeerCount> all_counts();
     wire::PeerImages images() const;
@@ -76,6 +82,10 @@
     bool authority() const { return !stopped_ && c_.election.authority(); }
     api::TaskCounts count(const std::string& id, const jobs::Entry& e);
     void load();
+    void read_record();
+    void read_history();
+    void list_all();
+    void inherit(const std::string& id, fleet::Machine& m);
     void take_all(const state::Listed& jobs, const state::Listed& progress, const state::Listed& machines);
     void loaded();
     void retry_load();
@@ -125,7 +135,15 @@
     void drop_keys();
     void list_hosts();
     void heed_notice(fleet::Machine& m);
-    bool all_settled() const;
+    bool may_place() const;
+    bool all_heard() const;
+    static bool leave_list(std::set<std::string>& ids, const fleet::Picture& p,
+                           bool (*leaves)(const fleet::Machine&));
+
+    // what others follow
+    std::optional<wire::PeerMachineRow> row_of(const std::string& id) const;
+    void tell_changes();
+    void release_starts();
 
     // jobs
     void store_soon();
@@ -166,7 +184,7 @@
     std::uint64_t version_;
     std::mt19937_64 random_;
     double keep_alive_, started_ = 0;
-    bool stopped_ = false, loaded_ = false, was_settled_ = false;
+    bool stopped_ = false, loaded_ = false, could_place_ = false, was_settled_ = false;
 
     std::mutex mutex_;  // guards the picture and the table: the planner reads them
     fleet::Picture picture_;
@@ -197,6 +215,18 @@
     // Stored by earlier leaders and, when last looked at, not settled: nothing is placed while there are any.
     // What this leader stores itself held nothing before, as far as an earlier one can have started it.
     mutable std::set<std::string> unsettled_;
+    mutable std::set<std::string> unknown_;  // of these, those of which the leader before told nothing either
+    standby::Evidence evidence_;
+    std::uint64_t record_version_ = 0;  // of the key of the record that was read
+    bool inherits_ = false;
+    standby::Teller teller_;
+    struct Held {
+        std::uint64_t mark;  // of the change that showed the start
+        std::string machine;
+        wire::TaskId task;
+    };
+    std::vector<std::pair<std::string, wire::TaskId>> started_now_;  // by the plan that is applied
+    std::deque<Held> held_;  // starts that those who follow may not have taken in yet
     std::pair<std::size_t, double> paced_{SIZE_MAX, -1};  // unsettled machines when last counted, and when
     double pace_at_ = -1;                                 // when the settling was last seen to go on
     double slowest_boot_ = 4;                             // lately, in nominal boot times
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -191,6 +191,7 @@
         return heard;
     }
     settled_check();
+    tell_changes();
     if (heard.ends.empty() && heard.found.empty()) return heard;
     flush_all();
     if (loaded_) store_soon();
@@ -199,9 +200,15 @@
 }
 
 void Leader::settled_check() {
-    if (was_settled_ || !all_settled()) return;
+    if (was_settled_) return;
+    if (!could_place_ && loaded_ && may_place() && picture_.any_settled()) {
+        could_place_ = true;
+        spdlog::info("leader: may place after {:.2f} s", now() - started_);
+        plan_soon();
+    }
+    if (!all_heard()) return;
     was_settled_ = true;
-    spdlog::info("leader: all machines settled after {:.1f} s", now() - started_);
+    spdlog::info("leader: all machines settled after {:.2f} s", now() - started_);
     plan_soon();
 }
 void Leader::types_changed() {
@@ -666,6 +673,7 @@
             for (auto& e : picture_.removed(id)) handle_end(e);
         }
     }
+    tell_changes();
     settled_check();
     plan_soon();
     delete_condemned();
--- a/src/daemon/leader_plans.cpp
+++ b/src/daemon/leader_plans.cpp
@@ -42,11 +42,12 @@
 }
 
 void Leader::plan() {
-    // A new leader can't know what unsettled machines hold, so neither a task, a quota nor a zone is safe.
-    if (planning_ || !loaded_ || !authority() || !all_settled()) return;
+    // Unless the leader before told it, a new leader can't know what unsettled machines hold, so neither a
+    // task, a quota nor a zone is safe.
+    if (planning_ || !loaded_ || !authority() || !may_place()) return;
     auto plan = std::make_shared<Plan>();
     plan->with_capacity =
-        now() - last_capacity_ > c_.settings.report_s * capacity_reports && !c_.types.empty();
+        all_heard() && now() - last_capacity_ > c_.settings.report_s * capacity_reports && !c_.types.empty();
     // Most plans found nothing to place: each copied the whole fleet to see that.
     if (!plan->with_capacity && !anything_waits()) return;
     planning_ = true;
@@ -239,6 +240,7 @@
         }
         if (ok) {
             for (auto& [m, task] : placed) {
+                started_now_.emplace_back(m->id, wire::TaskId{id, task});
                 spdlog::debug("task {}/{} attempt {} goes to {}", id, task, attempt, m->id);
             }
         } else {
@@ -277,9 +279,11 @@
     }
     {
         std::lock_guard lock(mutex_);
-        if (!all_settled()) return;
+        if (!may_place()) return;
         apply_starts(p);
+        bool stops = all_heard();
         for (auto& s : p.out.stops) {
+            if (!stops) break;
             auto& i = p.in.instances[s.instance];
             auto& spec = *p.in.jobs[i.job].spec;
             auto* m = picture_.find(p.in.machines[i.machine].id);
@@ -295,7 +299,13 @@
                 condemn(*m, "is surplus");
         }
     }
-    flush_all();
+    tell_changes();
+    // The changes that show the starts of this plan were queued just now.
+    if (c_.settings.op.standby)
+        for (auto& [machine, task] : started_now_) held_.push_back({teller_.mark(), machine, task});
+    started_now_.clear();
+    teller_.hurry();
+    release_starts();
     auto& n = p.out.counts;
     c_.metrics.drawn("tasks", static_cast<double>(n.tasks));
     c_.metrics.drawn("draws", static_cast<double>(n.draws));
--- a/src/fleet/picture.cpp
+++ b/src/fleet/picture.cpp
@@ -82,6 +82,16 @@
     m.unsent = true;
     to_flush_.push_back(m.id);
 }
+void Picture::tell_later(Machine& m) {
+    if (m.untold) return;
+    m.untold = true;
+    to_tell_.push_back(m.id);
+}
+std::vector<std::string> Picture::to_tell() {
+    for (auto& id : to_tell_)
+        if (auto* m = find(id)) m->untold = false;
+    return std::exchange(to_tell_, {});
+}
 Machine* Picture::find(const std::string& id) {
     auto it = machines_.find(id);
     return it == machines_.end() ? nullptr : &it->second;
@@ -134,7 +144,8 @@
         return heard;
     }
     heard.fresh = heard.current = true;
-    if (r.session > m.session) {
+    bool changed = r.session > m.session || (r.token >= base_ && !m.settled);
+    if (r.session > m.session && m.session > 0) {
         // Proof: a worker that moves on to a new session has killed and forgotten all tasks of the old one.
         // Commands under way for the old session are refused by the worker.
         heard.ends = vanish_all(m);
@@ -154,7 +165,7 @@
     }
     // From a report under this leader's token on, the worker drops all commands of earlier leaders, so what
     // the report shows is all there is.
-    if (r.token >= base_) m.settled = true;
+    if (r.token >= base_) m.settled = any_settled_ = true;
 
     std::set<std::pair<wire::TaskId, std::uint64_t>> shown_ended;
     std::set<wire::TaskId> shown;
@@ -193,6 +204,7 @@
         } else if (!match) {
             // Another attempt than the one on record is there; the one shown is what holds the place.
             it->second.attempt = t.attempt;
+            changed = true;
         }
         auto& i = it->second;
         i.seen = true;
@@ -224,6 +236,7 @@
     }
     std::erase_if(m.ended, [&](auto& e) { return !shown_ended.contains(e.first) && e.second.stored; });
     if (!m.tasks.empty()) m.idle_since = now;
+    if (changed || !heard.ends.empty() || !heard.found.empty()) tell_later(m);
     return heard;
 }
 
@@ -268,7 +281,7 @@
             if (i.stop_sent >= 0) continue;
             out.push_back({Op::stop, id, i.attempt, i.grace_s});
             i.stop_sent = now;
-        } else if (i.spec && i.ready && !i.seen && i.run_token == 0) {
+        } else if (i.spec && i.ready && i.told && !i.seen && i.run_token == 0) {
             if (!authority) {
                 held_back = true;
                 continue;
@@ -313,8 +326,21 @@
     i.attempt = attempt;
     i.placed = now;
     i.ready = m.stored;
+    i.told = !hold_starts_;
     m.idle_since = now;
     flush_later(m);
+    tell_later(m);
+    return i;
+}
+Instance& Picture::inherit(Machine& m, const wire::TaskId& task, Spec spec, std::uint64_t attempt,
+                           double now) {
+    auto& i = m.tasks[task];
+    i = Instance{};
+    i.spec = std::move(spec);
+    i.attempt = attempt;
+    i.placed = now;
+    i.seen = true;
+    i.run_token = base_ - 1;  // of any `run` that may still be on its way
     return i;
 }
 void Picture::stop(Machine& m, const wire::TaskId& task, double grace_s) {
@@ -342,6 +368,7 @@
     auto it = machines_.find(id);
     if (it == machines_.end()) return {};
     auto ends = vanish_all(it->second);
+    if (!it->second.untold) to_tell_.push_back(id);
     machines_.erase(it);
     gone_.insert(id);
     return ends;
@@ -349,6 +376,7 @@
 std::vector<End> Picture::lease_out(Machine& m) {
     auto ends = vanish_all(m);
     m.settled = true;
+    tell_later(m);
     return ends;
 }
 
--- a/src/fleet/picture.hpp
+++ b/src/fleet/picture.hpp
@@ -27,6 +27,7 @@
     wire::TaskState state = wire::TaskState::fetching;
     bool seen = false;  // a report showed it
     bool ready = true;  // its machine is stored, so `run` may be sent
+    bool told = true;   // and so may it, since those who follow this leader know of it
     bool stop = false;
     bool image_noted = false;
     bool stray = false;  // a second instance of a task: never wanted, still counted
@@ -52,7 +53,9 @@
     enum class Life { booting, up, condemned } life = Life::booting;
     bool stored = false, storing = false;  // its key at the state service
     bool settled = false;                  // what is on it is known to this leader
-    bool deletable = false;                // condemned, and stored as such: the deletion may be asked for
+    bool known =
+        false;  // by the leader before: `tasks` holds all that may be on it, though it has not settled
+    bool deletable = false;  // condemned, and stored as such: the deletion may be asked for
     bool deleting = false;
     std::uint64_t session = 0, sequence = 0, hello_sequence = 0, helm = 0, token = 0;
     double created = 0, last_heard = 0, last_probe = -1, idle_since = 0;
@@ -60,7 +63,7 @@
     double lent_until = -1;  // last moment at which a hearer that gave it back may have renewed its lease
     std::string route;       // the controller through which its last report came; empty: the leader itself
     double moved = -1;       // when it was last sent to another controller
-    double asked = -1;  // when this leader first asked it for a report
+    double asked = -1;       // when this leader first asked it for a report
     double notice_until = -1;
     bool probing = false;
     std::map<wire::TaskId, Instance> tasks;
@@ -69,6 +72,7 @@
     std::shared_ptr<const wire::Images> images;  // of `cache`; replaced, never changed: plans hold on to it
     bool draining = false;                       // surplus, by the last plan of what to rent and return
     bool unsent = false;                         // among those that `to_flush` names
+    bool untold = false;                         // among those that `to_tell` names
     std::set<std::string> error_jobs;
     double avoid_until = 0;
 
@@ -139,6 +143,7 @@
     std::map<std::string, Machine>& machines() { return machines_; }
     const std::map<std::string, Machine>& machines() const { return machines_; }
     std::uint64_t base_token() const { return base_; }
+    bool any_settled() const { return any_settled_; }
     const std::vector<wire::Pool>& pools() const { return pools_; }
     std::size_t zones() const { return zones_.size(); }
     std::uint32_t image(const std::string& name);
@@ -149,8 +154,16 @@
     // the reports themselves.
     std::vector<std::string> to_flush() { return std::exchange(to_flush_, {}); }
     void flush_later(Machine& m);
+    // Machines of which something has changed that a follower must know.
+    std::vector<std::string> to_tell();
+    // New starts are held back until they are `told`.
+    void hold_starts() { hold_starts_ = true; }
+    // What a leader before this one, which told all it started, knew to be on the machine: it may be there. A
+    // report under this leader's token proves what is; the predecessor's tokens were all lower.
+    Instance& inherit(Machine& m, const wire::TaskId& task, Spec spec, std::uint64_t attempt, double now);
 
   private:
+    void tell_later(Machine& m);
     void know_type(wire::Pool& p) const;
     std::size_t pool_of(const std::string& type, const std::string& zone, bool spot);
     void used_image(Machine& m, const wire::Job& job);
@@ -162,7 +175,8 @@
     std::vector<wire::Pool> pools_;
     std::vector<std::string> zones_;
     std::map<std::string, std::uint32_t> images_;
-    std::vector<std::string> to_flush_;
+    std::vector<std::string> to_flush_, to_tell_;
+    bool hold_starts_ = false, any_settled_ = false;
     // By job: machines that hold, or held, ends of its tasks. Walking all machines for each end that was
     // stored took as long as the reports.
     std::unordered_map<std::string, std::set<std::string>> ended_at_;
--- /dev/null
+++ b/src/standby/checks.cpp
@@ -0,0 +1,53 @@
+#include "standby/checks.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace coralhitch::standby {
+namespace {
+
+bool stored(const Evidence& e) {
+    return e.record && e.record->version < e.version;
+}
+// The leader sent no start that this process had not taken in before. Another process of this controller does
+// not count: it is gone, with all that it knew.
+bool member(const Evidence& e) {
+    auto& m = e.record->members;
+    return std::find(m.begin(), m.end(), wire::StandbyRecord::Member{e.label, e.incarnation}) != m.end();
+}
+bool same_leadership(const Evidence& e) {
+    return e.copy && e.copy->version == e.record->version;
+}
+bool history_known(const Evidence& e) {
+    auto& l = e.chain.links;
+    return e.history &&
+           std::any_of(l.begin(), l.end(), [&](auto& k) { return k.version == e.record->version; });
+}
+// Leaders in between that keep a record would have replaced this one before their first start. Any other may
+// have started what it liked.
+bool nobody_between(const Evidence& e) {
+    auto keeps = [&](auto& l) { return l.version <= e.record->version || l.keeps_record; };
+    return std::all_of(e.chain.links.begin(), e.chain.links.end(), keeps) &&
+           std::all_of(e.since.begin(), e.since.end(), keeps);
+}
+
+constexpr std::array<Check, 5> all{{
+    {"no record is stored", stored},
+    {"the record does not name this process", member},
+    {"the copy is of another leadership than the record", same_leadership},
+    {"there may have been leaders that were not seen", history_known},
+    {"a leader in between kept no record", nobody_between},
+}};
+
+}  // namespace
+
+std::span<const Check> checks() {
+    return all;
+}
+std::optional<std::string> judge(const Evidence& e) {
+    for (auto& c : all)
+        if (!c.holds(e)) return c.name;
+    return std::nullopt;
+}
+
+}  // namespace coralhitch::standby
--- /dev/null
+++ b/src/standby/copy.hpp
@@ -0,0 +1,33 @@
+// What a controller that does not lead knows of the leader's machines, from the leader.
+//
+// All of it is a hint until `standby::judge` says otherwise: a copy may be old, half received, or of a
+// leadership that others followed.
+#pragma once
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include "wire/peer.hpp"
+
+namespace coralhitch::standby {
+
+struct Copy {
+    std::uint64_t version = 0;  // of the leadership that told it; 0: nothing is known
+    std::uint64_t number = 0;   // of the last piece taken
+    std::unordered_map<std::string, wire::PeerMachineRow> rows;  // by machine
+};
+
+class Follower {
+  public:
+    explicit Follower(std::uint64_t incarnation) : incarnation_(incarnation) {}
+    // A piece of an earlier leadership, or one that comes after a later piece, is refused: it was held up on
+    // its way, and what it says may be over.
+    wire::PeerFleetAnswer take(wire::PeerFleet piece);
+    const Copy& copy() const { return copy_; }
+
+  private:
+    std::uint64_t incarnation_;
+    Copy copy_;
+};
+
+}  // namespace coralhitch::standby
--- /dev/null
+++ b/src/standby/teller.cpp
@@ -0,0 +1,227 @@
+#include "standby/teller.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "state/keys.hpp"
+
+namespace coralhitch::standby {
+namespace keys = state::keys;
+using state::Committed;
+
+namespace {
+// Ratios to the report period, unless named otherwise.
+constexpr double gap_reports = 1.0 / 20;      // ends and the like are told together
+constexpr double patience_reports = 1.0 / 5;  // for how long a start waits for one that does not answer
+constexpr double again_share = 1.0 / 4;       // of the patience, after an answer that failed at once
+constexpr double write_again_reports = 1.0 / 40;
+constexpr std::size_t most_rows = 256;  // in a piece, so that no turn of the loop gets long
+}  // namespace
+
+Teller::Teller(loop::Timers& timers, http::Requester& http, const config::Settings& settings,
+               state::Client& state, std::uint64_t version, Hooks hooks)
+    : timers_(timers),
+      http_(http),
+      settings_(settings),
+      state_(state),
+      version_(version),
+      hooks_(std::move(hooks)) {
+    for (auto& p : settings.peers) standbys_[p.label].peer = p;
+}
+Teller::~Teller() = default;
+
+double Teller::patience() const {
+    return settings_.report_s * patience_reports;
+}
+
+void Teller::start(std::uint64_t record_version) {
+    started_ = true;
+    record_version_ = record_version;
+    // Even if nobody follows: whoever is named in the record of an earlier leader would otherwise take itself
+    // for one that knows all starts.
+    write_record();
+    tick();
+}
+
+void Teller::tick() {
+    if (!started_) return;
+    for (auto& [label, s] : standbys_) {
+        if (!s.following && timers_.now() >= s.retry_at && hooks_.follows(label)) begin(s);
+        // One that has followed for long is not made to pay for what was before.
+        if (s.whole && timers_.now() - s.joined > settings_.lease_s) s.pause = 0;
+    }
+    soon();
+}
+
+// From here on it is told all that changes. What it holds of an earlier time counts for nothing.
+void Teller::begin(Standby& s) {
+    s.following = true;
+    s.whole = s.busy = false;
+    s.incarnation = 0;
+    s.told = 0;
+    s.waiting_since = -1;
+    s.queue.clear();
+    s.queued.clear();
+    ++s.round;
+    for (auto& id : hooks_.machines())
+        if (s.queued.insert(id).second) s.queue.emplace_back(1, id);  // none of it counts before all is told
+    send(s);
+}
+void Teller::leave(Standby& s, const char* why) {
+    if (!s.following) return;
+    spdlog::info("standby: {} does not follow any more: {}", s.peer.label, why);
+    if (s.whole) ++dropped_;
+    s.following = s.whole = s.busy = false;
+    ++s.round;
+    s.pause = std::clamp(s.pause * 2, settings_.report_s, settings_.lease_s);
+    s.retry_at = timers_.now() + s.pause;
+    write_record();
+}
+
+void Teller::changed(const std::string& machine) {
+    ++marks_;
+    for (auto& [label, s] : standbys_)
+        if (s.following && s.queued.insert(machine).second) s.queue.emplace_back(marks_, machine);
+    soon();
+}
+void Teller::soon() {
+    if (std::exchange(armed_, true)) return;
+    timers_.after(settings_.report_s * gap_reports, guarded([this] {
+                      armed_ = false;
+                      hurry();
+                  }));
+}
+void Teller::hurry() {
+    for (auto& [label, s] : standbys_) send(s);
+}
+
+bool Teller::counts(const Standby& s) const {
+    return attempted_.contains(s.peer.label) || std::any_of(confirmed_.begin(), confirmed_.end(),
+                                                            [&](auto& m) { return m.label == s.peer.label; });
+}
+bool Teller::told(std::uint64_t mark) const {
+    return ours_ && std::all_of(standbys_.begin(), standbys_.end(),
+                                [&](auto& s) { return s.second.told >= mark || !counts(s.second); });
+}
+
+// One piece at a time. Its rows are as the machines are now, so it also tells what has changed since they
+// were queued.
+void Teller::send(Standby& s) {
+    if (!s.following || s.busy || (s.queue.empty() && s.whole)) return;
+    wire::PeerFleet piece{version_, ++numbers_, {}};
+    std::vector<std::string> ids;
+    while (!s.queue.empty() && piece.rows.size() < most_rows) {
+        auto id = std::move(s.queue.front().second);
+        s.queue.pop_front();
+        s.queued.erase(id);
+        if (auto row = hooks_.row(id)) piece.rows.push_back(std::move(*row));
+        ids.push_back(std::move(id));
+    }
+    auto upto = s.queue.empty() ? marks_ : s.queue.front().first - 1;
+    s.busy = true;
+    if (s.waiting_since < 0) s.waiting_since = timers_.now();
+    ++pieces_;
+    http_.send(s.peer.addr,
+               {"POST", std::string(wire::peer_fleet_path), wire::pack_peer(piece), "application/msgpack"},
+               patience(), guarded([this, &s, round = s.round, upto, ids](std::optional<http::Response> r) {
+                   answered(s, round, upto, ids, r);
+               }));
+}
+
+void Teller::answered(Standby& s, std::uint64_t round, std::uint64_t upto,
+                      const std::vector<std::string>& ids, const std::optional<http::Response>& r) {
+    if (round != s.round) return;
+    s.busy = false;
+    std::optional<wire::PeerFleetAnswer> a;
+    if (r && r->status == 200) a = wire::unpack_peer<wire::PeerFleetAnswer>(r->body);
+    if (a && !a->taken) return leave(s, "it knows of a later leader");
+    if (a && s.incarnation != 0 && a->incarnation != s.incarnation) return leave(s, "it was started anew");
+    if (!a) {
+        if (timers_.now() - s.waiting_since >= patience()) return leave(s, "it does not answer");
+        // Not taken, as far as is known: told again, with what has changed since.
+        for (auto id = ids.rbegin(); id != ids.rend(); ++id)
+            if (s.queued.insert(*id).second) s.queue.emplace_front(s.told + 1, *id);
+        timers_.after(patience() * again_share, guarded([this, &s, round] {
+                          if (round == s.round) send(s);
+                      }));
+        return;
+    }
+    s.incarnation = a->incarnation;
+    s.waiting_since = -1;
+    s.told = std::max(s.told, upto);
+    if (s.queue.empty() && !s.whole) {
+        s.whole = true;
+        s.joined = timers_.now();
+        write_record();
+    }
+    if (!s.whole || (s.queue.size() >= most_rows)) send(s);
+    hooks_.told();
+}
+
+// --- The record -----------------------------------------------------------------------------------------
+
+std::vector<Teller::Member> Teller::wanted() const {
+    std::vector<Member> out;
+    for (auto& [label, s] : standbys_)
+        if (s.following && s.whole) out.push_back({label, s.incarnation});
+    return out;
+}
+// One write at a time, each on the version last seen, so that one which was not answered and is executed late
+// can't name somebody who was taken out since.
+void Teller::write_record() {
+    if (writing_ || !started_) return;
+    auto members = wanted();
+    // What a write that was not answered names counts until another write, on the version after it, is
+    // confirmed.
+    if (ours_ && members == confirmed_ && attempted_.empty()) return;
+    auto t = hooks_.begin();
+    if (!t) return write_later();
+    t->conditions.push_back({keys::standby, record_version_});
+    t->changes.push_back({keys::standby, wire::stored(wire::StandbyRecord{version_, members}), 0});
+    for (auto& m : members) attempted_.insert(m.label);
+    writing_ = true;
+    // No start is sent before it is answered, so it waits for nothing else.
+    state_.txn(std::move(*t), state::Rank::lease, guarded([this, members](Committed c) {
+                   writing_ = false;
+                   if (c.status == Committed::Status::committed) {
+                       record_version_ = c.revision;
+                       ours_ = true;
+                       confirmed_ = members;
+                       attempted_.clear();
+                       spdlog::info("standby: {} of {} follow", confirmed_.size(), standbys_.size());
+                       write_record();
+                       return hooks_.told();
+                   }
+                   if (c.executed_never()) return write_later();
+                   read_record();
+               }));
+}
+void Teller::write_later() {
+    if (std::exchange(writing_, true)) return;
+    timers_.after(settings_.report_s * write_again_reports, guarded([this] {
+                      writing_ = false;
+                      write_record();
+                  }));
+}
+void Teller::read_record() {
+    writing_ = true;
+    state_.get(keys::standby, state::Rank::lease, guarded([this](state::Found f) {
+                   writing_ = false;
+                   if (f.ok) {
+                       record_version_ = f.entry ? f.entry->version : 0;
+                       if (f.entry) try {
+                               auto r = wire::parse_standby_record(f.entry->value);
+                               if (r.version == version_) {
+                                   ours_ = true;
+                                   confirmed_ = r.members;
+                               }
+                           } catch (const wire::Malformed& x) {
+                               spdlog::error("standby: record: {}", x.what());
+                           }
+                   }
+                   write_later();
+               }));
+}
+
+}  // namespace coralhitch::standby
--- a/src/state/election.cpp
+++ b/src/state/election.cpp
@@ -10,6 +10,7 @@
 constexpr double margin_ratio = 1.0 / 20;
 constexpr double renewals_per_ttl = 4;
 constexpr double defer_ttls = 1;
+constexpr std::size_t most_links = 16;
 }  // namespace
 
 Election::Election(loop::Timers& timers, Client& state, const config::Settings& settings,
@@ -35,9 +36,19 @@
     timers_.after(ttl_ / 8 * jitter(random_), [this] { look(); });
 }
 
+// The same leadership again, or one that followed it. After a gap, what came before says nothing.
+void Election::link(std::uint64_t version, bool keeps_record) {
+    auto& links = chain_.links;
+    if (!links.empty() && links.back().version == version) return;
+    links.push_back({version, keeps_record});
+    if (links.size() > most_links) links.erase(links.begin());
+    chain_.known_until = version;
+}
 void Election::saw(const wire::Entry& e) {
     try {
         auto r = wire::parse_leader_record(e.value);
+        if (!chain_.links.empty() && chain_.links.back().version != e.version) chain_.links.clear();
+        link(e.version, r.keeps_record);
         if (e.version >= leader_version_ && (leader_ != r.label || leader_version_ != e.version)) {
             leader_ = r.label;
             leader_version_ = e.version;
@@ -67,7 +78,7 @@
             }
         } catch (const wire::Malformed&) {
         }
-        follow(f.entry->version);
+        follow(std::max(f.entry->version, chain_.known_until));
     });
 }
 
@@ -86,14 +97,22 @@
 void Election::follow(std::uint64_t revision) {
     state_.watch(keys::leader, revision, ttl_, [this, revision](Watched w) {
         if (role_ != Role::following) return;
+        if (w.status == Watched::Status::too_old) return follow_late();
         if (w.status != Watched::Status::ok) return retry_look();
         std::uint64_t next = std::max(revision, w.events.revision);
-        bool ended = false;
+        bool ended = false, again = false;
         for (auto& e : w.events.events) {
             if (e.key != keys::leader) continue;
-            if (e.value) return look();
-            ended = true;
+            ended = !e.value;
+            again |= e.value.has_value();
+            if (e.value) try {
+                    link(e.version, wire::parse_leader_record(*e.value).keeps_record);
+                } catch (const wire::Malformed&) {
+                    link(e.version, false);
+                }
         }
+        chain_.known_until = std::max(chain_.known_until, next);
+        if (again) return look();
         // The claim makes sure that the key is gone, so it need not be read first. The version before reads
         // it: while it is replaced controller by controller, those that are not to be stopped any more go
         // first.
@@ -102,6 +121,19 @@
     });
 }
 
+// The leader's key is older than the changes that the state service keeps: the list tells a revision to watch
+// from. Asked for by its version again and again, each watch was refused.
+void Election::follow_late() {
+    state_.list(keys::leader, Rank::lease, [this](Listed l) {
+        if (role_ != Role::following) return;
+        bool same = l.ok && l.entries.size() == 1 && l.entries[0].version == leader_version_ &&
+                    !chain_.links.empty() && chain_.links.back().version == leader_version_;
+        if (!same) return retry_look();
+        chain_.known_until = std::max(chain_.known_until, l.revision);
+        follow(chain_.known_until);
+    });
+}
+
 void Election::campaign() {
     role_ = Role::campaigning;
     state_.create_lease(ttl_, [this](LeaseAnswer lease) {
@@ -118,7 +150,8 @@
     wire::Txn t;
     t.conditions.push_back({keys::leader, 0});
     t.changes.push_back(
-        {keys::leader, wire::stored(wire::LeaderRecord{settings_.label, incarnation_}), lease.id});
+        {keys::leader, wire::stored(wire::LeaderRecord{settings_.label, incarnation_, settings_.op.standby}),
+         lease.id});
     state_.txn(std::move(t), Rank::lease, [this, lease](Committed c) {
         if (role_ != Role::campaigning) return;
         if (c.status == Committed::Status::committed) return win(c.revision, lease);
@@ -158,6 +191,8 @@
     leader_ = settings_.label;
     leader_version_ = version;
     ++round_;
+    chain_before_ = chain_;
+    link(version, settings_.op.standby);
     state_.set_leading(true);
     spdlog::info("election: won with version {}", version);
     renew();
--- a/src/state/election.hpp
+++ b/src/state/election.hpp
@@ -29,6 +29,18 @@
     std::uint64_t version() const { return version_; }  // of the held key
     double ttl() const { return ttl_; }
 
+    // The leaderships that this controller has seen one after the other, none left out as long as its watch
+    // went on, and until which revision: what came after that, it must ask before it relies on it.
+    struct Link {
+        std::uint64_t version = 0;
+        bool keeps_record = false;  // see wire::LeaderRecord
+    };
+    struct Chain {
+        std::vector<Link> links;
+        std::uint64_t known_until = 0;
+    };
+    const Chain& chain() const { return chain_before_; }  // as of the claim, own leadership left out
+
     const std::string& leader() const { return leader_; }  // label, empty if unknown
     std::uint64_t leader_version() const { return leader_version_; }
     void peer_says(const std::string& leader, std::uint64_t version);
@@ -42,6 +54,7 @@
     void look();
     void vacant();
     void follow(std::uint64_t revision);
+    void follow_late();
     void campaign();
     void claim(LeaseAnswer lease);
     void check_claim(LeaseAnswer lease);
@@ -51,6 +64,7 @@
     void retry_look();
     void saw(const wire::Entry& e);
     double usable(double sent) const;
+    void link(std::uint64_t version, bool keeps_record);
 
     loop::Timers& timers_;
     Client& state_;
@@ -64,6 +78,7 @@
     std::uint64_t version_ = 0, lease_ = 0, round_ = 0;
     std::string leader_;
     std::uint64_t leader_version_ = 0;
+    Chain chain_, chain_before_;
 };
 
 }  // namespace coralhitch::state
--- a/src/wire/model.hpp
+++ b/src/wire/model.hpp
@@ -133,6 +133,18 @@
 struct LeaderRecord {
     std::string label;
     std::uint64_t incarnation = 0;
+    // It stores a record of who follows it before its first `run`. Versions that don't, say nothing.
+    bool keeps_record = false;
+};
+// Who has taken in every start that may have been sent under this leadership, or before it.
+struct StandbyRecord {
+    struct Member {
+        std::string label;
+        std::uint64_t incarnation = 0;  // of its process
+        bool operator==(const Member&) const = default;
+    };
+    std::uint64_t version = 0;  // of the leader's key
+    std::vector<Member> members;
 };
 
 }  // namespace coralhitch::wire
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -15,6 +15,7 @@
 inline constexpr std::string_view peer_job_path = "/peer/job";
 inline constexpr std::string_view peer_cancelled_path = "/peer/cancelled";
 inline constexpr std::string_view peer_relay_path = "/peer/relay";
+inline constexpr std::string_view peer_fleet_path = "/peer/fleet";
 
 // Tasks of a live job, as the leader counts them.
 struct PeerCount {
@@ -24,7 +25,8 @@
 };
 inline constexpr std::uint64_t peer_features_awaits = 1;  // jobs that await others
 inline constexpr std::uint64_t peer_features_relay = 2;   // takes reports that another controller heard
-inline constexpr std::uint64_t peer_features = peer_features_relay;
+inline constexpr std::uint64_t peer_features_follow = 3;  // takes what the leader tells of its machines
+inline constexpr std::uint64_t peer_features = peer_features_follow;
 
 struct PeerPing {
     std::string label;
@@ -107,6 +109,35 @@
     MSGPACK_DEFINE(leads, ready, grant_ms, answers, recalled)
 };
 
+// From the leader to a controller that follows it: what its machines may hold. A row says all of its machine,
+// as of the sending; it replaces what an earlier piece said.
+struct PeerPlaced {
+    std::string job;
+    std::uint32_t index = 0;
+    std::uint64_t attempt = 0;
+    MSGPACK_DEFINE(job, index, attempt)
+};
+struct PeerMachineRow {
+    std::string machine;
+    bool known = false;  // it holds these tasks at the most; otherwise anything may be on it
+    bool gone = false;   // it was deleted
+    std::uint64_t session = 0, sequence = 0;  // of the last report that the leader heard
+    std::vector<PeerPlaced> tasks;
+    MSGPACK_DEFINE(machine, known, gone, session, sequence, tasks)
+};
+struct PeerFleet {
+    std::uint64_t leader_version = 0;
+    std::uint64_t number = 0;  // of this piece, growing; pieces of lower numbers that come later are refused
+    std::vector<PeerMachineRow> rows;
+    MSGPACK_DEFINE(leader_version, number, rows)
+};
+struct PeerFleetAnswer {
+    bool taken = false;
+    std::uint64_t incarnation =
+        0;  // of the process that took it: another one knows nothing of what came before
+    MSGPACK_DEFINE(taken, incarnation)
+};
+
 template <class T>
 std::string pack_peer(const T& v) {
     msgpack::sbuffer b;
--- a/src/wire/protocol.cpp
+++ b/src/wire/protocol.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-
 json parse_object(std::string_view body) {
     json j = json::parse(body, nullptr, false);
     if (j.is_discarded()) throw Malformed("not JSON");
@@ -386,7 +385,14 @@
     return dumped(json{{"machines", std::move(rows)}});
 }
 std::string stored(const LeaderRecord& r) {
-    return dumped(json{{"label", r.label}, {"incarnation", r.incarnation}});
+    json j{{"label", r.label}, {"incarnation", r.incarnation}};
+    if (r.keeps_record) j["standby"] = true;
+    return dumped(j);
+}
+std::string stored(const StandbyRecord& r) {
+    json members = json::array();
+    for (auto& m : r.members) members.push_back(json{{"label", m.label}, {"incarnation", m.incarnation}});
+    return dumped(json{{"version", r.version}, {"members", members}});
 }
 std::string stored_bits(const std::vector<bool>& bits) {
     constexpr char digits[] = "0123456789abcdef";
@@ -440,7 +446,16 @@
 }
 LeaderRecord parse_leader_record(std::string_view v) {
     json j = parse_object(v);
-    return {text(j, "label"), count(j, "incarnation")};
+    return {text(j, "label"), count(j, "incarnation"), j.contains("standby") && flag(j, "standby")};
+}
+StandbyRecord parse_standby_record(std::string_view v) {
+    json j = parse_object(v);
+    StandbyRecord r{count(j, "version"), {}};
+    for (auto& m : list(j, "members")) {
+        if (!m.is_object()) bad("members", "holds something that is not a member");
+        r.members.push_back({text(m, "label"), count(m, "incarnation")});
+    }
+    return r;
 }
 std::vector<bool> parse_bits(std::string_view v) {
     json j = parse_object(v);
--- a/src/wire/protocol.hpp
+++ b/src/wire/protocol.hpp
@@ -136,6 +136,7 @@
 std::string stored(const FinalRecord& r);
 std::string stored(const MachinePage& p);
 std::string stored(const LeaderRecord& r);
+std::string stored(const StandbyRecord& r);
 std::string stored_bits(const std::vector<bool>& bits);
 std::string stored_types(std::span<const MachineType> types);
 JobRecord parse_job_record(std::string_view v);
@@ -152,6 +153,7 @@
 MachineRecord parse_machine_record(std::string_view v);  // of the layout before there were pages
 MachinePage parse_machine_page(std::string_view v);
 LeaderRecord parse_leader_record(std::string_view v);
+StandbyRecord parse_standby_record(std::string_view v);
 std::vector<bool> parse_bits(std::string_view v);
 
 }  // namespace coralhitch::wire
