Tests of the standby: the leader ends after any message; each check left out

Need: each piece is seen in tests with several machines that fail.

Change: the stand-in calls a hook with each message as it is sent, so that a fault can be placed right after it; nine such faults, with machines that hang or die meanwhile, beside versions without a standby too. Tables for what is taken in, for each check left out, for who may come to be named in the record, for inherited tasks. What waits behind a piece under way is sent as soon as that is answered; one that only begins to follow has two report periods, since nothing waits for it.

--- a/src/standby/teller.cpp
+++ b/src/standby/teller.cpp
@@ -15,6 +15,8 @@
 constexpr double gap_reports = 1.0 / 20;      // ends and the like are told together
 constexpr double patience_reports = 1.0 / 5;  // for how long a start waits for one that does not answer
 constexpr double again_share = 1.0 / 4;       // of the patience, after an answer that failed at once
+constexpr double begin_reports = 2;  // and how long one may take that is only beginning: nothing waits for it
+constexpr double least_pause_reports = 1.0 / 2;
 constexpr double write_again_reports = 1.0 / 40;
 constexpr std::size_t most_rows = 256;  // in a piece, so that no turn of the loop gets long
 }  // namespace
@@ -31,8 +33,8 @@
 }
 Teller::~Teller() = default;
 
-double Teller::patience() const {
-    return settings_.report_s * patience_reports;
+double Teller::patience(const Standby& s) const {
+    return settings_.report_s * (s.whole || counts(s) ? patience_reports : begin_reports);
 }
 
 void Teller::start(std::uint64_t record_version) {
@@ -74,7 +76,7 @@
     if (s.whole) ++dropped_;
     s.following = s.whole = s.busy = false;
     ++s.round;
-    s.pause = std::clamp(s.pause * 2, settings_.report_s, settings_.lease_s);
+    s.pause = std::clamp(s.pause * 2, settings_.report_s * least_pause_reports, settings_.lease_s);
     s.retry_at = timers_.now() + s.pause;
     write_record();
 }
@@ -89,10 +91,14 @@
     if (std::exchange(armed_, true)) return;
     timers_.after(settings_.report_s * gap_reports, guarded([this] {
                       armed_ = false;
-                      hurry();
+                      send_all();
                   }));
 }
 void Teller::hurry() {
+    urgent_ = marks_;
+    send_all();
+}
+void Teller::send_all() {
     for (auto& [label, s] : standbys_) send(s);
 }
 
@@ -124,7 +130,7 @@
     ++pieces_;
     http_.send(s.peer.addr,
                {"POST", std::string(wire::peer_fleet_path), wire::pack_peer(piece), "application/msgpack"},
-               patience(), guarded([this, &s, round = s.round, upto, ids](std::optional<http::Response> r) {
+               patience(s), guarded([this, &s, round = s.round, upto, ids](std::optional<http::Response> r) {
                    answered(s, round, upto, ids, r);
                }));
 }
@@ -138,11 +144,11 @@
     if (a && !a->taken) return leave(s, "it knows of a later leader");
     if (a && s.incarnation != 0 && a->incarnation != s.incarnation) return leave(s, "it was started anew");
     if (!a) {
-        if (timers_.now() - s.waiting_since >= patience()) return leave(s, "it does not answer");
+        if (timers_.now() - s.waiting_since >= patience(s)) return leave(s, "it does not answer");
         // Not taken, as far as is known: told again, with what has changed since.
         for (auto id = ids.rbegin(); id != ids.rend(); ++id)
             if (s.queued.insert(*id).second) s.queue.emplace_front(s.told + 1, *id);
-        timers_.after(patience() * again_share, guarded([this, &s, round] {
+        timers_.after(patience(s) * again_share, guarded([this, &s, round] {
                           if (round == s.round) send(s);
                       }));
         return;
@@ -155,7 +161,9 @@
         s.joined = timers_.now();
         write_record();
     }
-    if (!s.whole || (s.queue.size() >= most_rows)) send(s);
+    // A start may have come to wait while this piece was under way.
+    if (!s.whole || s.told < urgent_ || s.queue.size() >= most_rows) send(s);
+    if (!s.queue.empty()) soon();
     hooks_.told();
 }
 
--- a/src/standby/teller.hpp
+++ b/src/standby/teller.hpp
@@ -66,6 +66,7 @@
     void begin(Standby& s);
     void leave(Standby& s, const char* why);
     void soon();
+    void send_all();
     void send(Standby& s);
     void answered(Standby& s, std::uint64_t round, std::uint64_t upto, const std::vector<std::string>& ids,
                   const std::optional<http::Response>& r);
@@ -74,7 +75,7 @@
     void write_record();
     void read_record();
     void write_later();
-    double patience() const;
+    double patience(const Standby& s) const;
     template <class F>
     auto guarded(F f) {
         return [alive = std::weak_ptr<int>(alive_), f = std::move(f)](auto&&... a) mutable {
@@ -89,7 +90,7 @@
     std::uint64_t version_;
     Hooks hooks_;
     std::map<std::string, Standby> standbys_;
-    std::uint64_t marks_ = 0, numbers_ = 0, record_version_ = 0;
+    std::uint64_t marks_ = 0, urgent_ = 0, numbers_ = 0, record_version_ = 0;
     bool started_ = false, ours_ = false;  // ours: the record is confirmed to be of this leadership
     bool writing_ = false, armed_ = false;
     std::vector<Member> confirmed_;
--- /dev/null
+++ b/tests/fake_state.hpp
@@ -0,0 +1,73 @@
+// A small state service for tests of single parts, on the injected clock.
+#pragma once
+#include <deque>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "fake_timers.hpp"
+#include "http/message.hpp"
+
+namespace coralhitch {
+
+// A state service in memory. A transaction's answer can be lost, with the transaction executed
+// at once, later or never.
+class FakeState : public http::Requester {
+  public:
+    explicit FakeState(FakeTimers& t) : timers_(t) {}
+    enum class Fate { answered, lost_after, late, never };
+    std::deque<Fate> fates;  // of the next transactions
+    std::map<std::string, std::pair<nlohmann::json, std::uint64_t>> kv;
+    std::uint64_t revision = 4;
+    int changes = 0;
+    // What goes to other addresses than the state service's, if the test answers that.
+    std::function<void(const std::string& addr, const http::Request&, double timeout, http::Result)> others;
+    std::size_t value_bytes = 16 * 1024, txn_ops = 24;  // what is refused beyond, with 400
+
+    void send(const std::string& addr, http::Request r, double timeout, http::Result result) override {
+        if (!addr.empty() && others) return others(addr, r, timeout, std::move(result));
+        auto fate = Fate::answered;
+        if (r.target == "/txn" && !fates.empty()) {
+            fate = fates.front();
+            fates.pop_front();
+        }
+        std::optional<http::Response> answer;
+        if (fate == Fate::answered || fate == Fate::lost_after) answer = execute(r);
+        if (fate == Fate::late) timers_.after(timeout * 1.4, [this, r] { execute(r); });
+        if (fate != Fate::answered) answer = std::nullopt;
+        timers_.after(answer ? 0.01 : timeout, [answer, result] { result(answer); });
+    }
+
+  private:
+    http::Response execute(const http::Request& r) {
+        if (r.target.starts_with("/kv/")) {
+            auto it = kv.find(r.target.substr(4));
+            if (it == kv.end()) return {404, nlohmann::json{{"epoch", revision}}.dump()};
+            return {
+                200,
+                nlohmann::json{{"path", it->first}, {"value", it->second.first}, {"stamp", it->second.second}}
+                    .dump()};
+        }
+        auto j = nlohmann::json::parse(r.body);
+        for (auto& c : j["if"]) {
+            auto it = kv.find(c["path"]);
+            if ((it == kv.end() ? 0 : it->second.second) != c["stamp"].get<std::uint64_t>())
+                return {409, nlohmann::json{{"failed", {c["path"]}}, {"epoch", revision}}.dump()};
+        }
+        if (j["then"].size() > txn_ops) return {400, "{}"};
+        for (auto& c : j["then"])
+            if (c.contains("put") && c["value"].dump().size() > value_bytes) return {400, "{}"};
+        ++revision;
+        for (auto& c : j["then"]) {
+            ++changes;
+            if (c.contains("put"))
+                kv[c["put"]] = {c["value"], revision};
+            else
+                kv.erase(c["drop"].get<std::string>());
+        }
+        return {200, nlohmann::json{{"epoch", revision}}.dump()};
+    }
+    FakeTimers& timers_;
+};
+
+}  // namespace coralhitch
--- a/tests/machine_store_test.cpp
+++ b/tests/machine_store_test.cpp
@@ -8,76 +8,20 @@
 #include <deque>
 #include <nlohmann/json.hpp>
 
-#include "fake_timers.hpp"
+#include "fake_state.hpp"
 #include "state/keys.hpp"
 
 namespace coralhitch::daemon {
 namespace {
 using nlohmann::json;
 
-// A state service with a key for each page. A transaction's answer can be lost, with the transaction executed
-// at once, later or never.
-class FakeState : public http::Requester {
-  public:
-    explicit FakeState(FakeTimers& t) : timers_(t) {}
-    enum class Fate { answered, lost_after, late, never };
-    std::deque<Fate> fates;  // of the next transactions
-    std::map<std::string, std::pair<json, std::uint64_t>> kv;
-    std::uint64_t revision = 4;
-    int changes = 0;
-    std::size_t value_bytes = 16 * 1024, txn_ops = 24;  // what is refused beyond, with 400
-
-    void send(const std::string&, http::Request r, double timeout, http::Result result) override {
-        auto fate = Fate::answered;
-        if (r.target == "/txn" && !fates.empty()) {
-            fate = fates.front();
-            fates.pop_front();
-        }
-        std::optional<http::Response> answer;
-        if (fate == Fate::answered || fate == Fate::lost_after) answer = execute(r);
-        if (fate == Fate::late) timers_.after(timeout * 1.4, [this, r] { execute(r); });
-        if (fate != Fate::answered) answer = std::nullopt;
-        timers_.after(answer ? 0.01 : timeout, [answer, result] { result(answer); });
-    }
-    std::set<std::string> machines() const {
-        std::set<std::string> out;
-        for (auto& [k, v] : kv)
-            if (k.starts_with(state::keys::machine_pages))
-                for (auto& row : v.first.value("machines", json::array()))
-                    out.insert(row[0].get<std::string>());
-        return out;
-    }
-
-  private:
-    http::Response execute(const http::Request& r) {
-        if (r.target.starts_with("/kv/")) {
-            auto it = kv.find(r.target.substr(4));
-            if (it == kv.end()) return {404, json{{"epoch", revision}}.dump()};
-            return {
-                200,
-                json{{"path", it->first}, {"value", it->second.first}, {"stamp", it->second.second}}.dump()};
-        }
-        auto j = json::parse(r.body);
-        for (auto& c : j["if"]) {
-            auto it = kv.find(c["path"]);
-            if ((it == kv.end() ? 0 : it->second.second) != c["stamp"].get<std::uint64_t>())
-                return {409, json{{"failed", {c["path"]}}, {"epoch", revision}}.dump()};
-        }
-        if (j["then"].size() > txn_ops) return {400, "{}"};
-        for (auto& c : j["then"])
-            if (c.contains("put") && c["value"].dump().size() > value_bytes) return {400, "{}"};
-        ++revision;
-        for (auto& c : j["then"]) {
-            ++changes;
-            if (c.contains("put"))
-                kv[c["put"]] = {c["value"], revision};
-            else
-                kv.erase(c["drop"].get<std::string>());
-        }
-        return {200, json{{"epoch", revision}}.dump()};
-    }
-    FakeTimers& timers_;
-};
+std::set<std::string> machines_in(const FakeState& state) {
+    std::set<std::string> out;
+    for (auto& [k, v] : state.kv)
+        if (k.starts_with(coralhitch::state::keys::machine_pages))
+            for (auto& row : v.first.value("machines", json::array())) out.insert(row[0].get<std::string>());
+    return out;
+}
 
 struct Bench {
     static config::Settings settings_for(double safe_value_kb, std::uint32_t txn_ops) {
@@ -143,7 +87,7 @@
         }
     }
     void expect_all_confirmed_stored() {
-        auto stored = service.machines();
+        auto stored = machines_in(service);
         for (auto& id : confirmed) EXPECT_TRUE(stored.contains(id)) << id;
     }
 };
@@ -184,7 +128,7 @@
         }
         b.expect_all_confirmed_stored();
         EXPECT_EQ(b.confirmed.size(), b.fleet.size());
-        EXPECT_EQ(b.service.machines().size(), b.fleet.size());
+        EXPECT_EQ(machines_in(b.service).size(), b.fleet.size());
     }
 }
 TEST(MachineStore, WritesNothingWithoutAuthority) {
@@ -217,7 +161,7 @@
     EXPECT_TRUE(next.fleet["vm-0"].condemned);
     next.store.flush();
     next.timers.run_until(2);
-    EXPECT_EQ(next.service.machines(), (std::set<std::string>{"vm-0", "vm-1"}));
+    EXPECT_EQ(machines_in(next.service), (std::set<std::string>{"vm-0", "vm-1"}));
     EXPECT_FALSE(next.service.kv.contains(state::keys::machines + "vm-0"));
 }
 
@@ -244,7 +188,7 @@
         b.add("vm-200000");
         b.play(40);
         EXPECT_EQ(b.confirmed.size(), 561u);
-        EXPECT_EQ(b.service.machines().size(), 561u);
+        EXPECT_EQ(machines_in(b.service).size(), 561u);
         for (auto& [k, v] : b.service.kv) EXPECT_LE(v.first.dump().size(), 2048u) << k;
         // One that takes over in the middle of it finds every machine, too: played by the checks above.
         Bench next(2, 8);
@@ -267,7 +211,7 @@
         for (int k = 300; k < 420; ++k) b.add("vm-" + std::to_string(100000 + k));
         b.play(120);
         EXPECT_EQ(b.confirmed.size(), 420u) << c.value_bytes;
-        EXPECT_EQ(b.service.machines().size(), 420u) << c.value_bytes;
+        EXPECT_EQ(machines_in(b.service).size(), 420u) << c.value_bytes;
         EXPECT_LE(b.client.rejections(), 24u) << c.value_bytes;
     }
 }
--- /dev/null
+++ b/tests/standby_test.cpp
@@ -0,0 +1,445 @@
+// What others take in of a leader's machines, and when a new leader may rely on it.
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include "fake_state.hpp"
+#include "fleet/picture.hpp"
+#include "standby/checks.hpp"
+#include "standby/teller.hpp"
+#include "standin.hpp"
+#include "state/keys.hpp"
+
+namespace coralhitch::standby {
+namespace {
+using nlohmann::json;
+
+wire::PeerMachineRow row_of(const std::string& id, std::uint64_t session = 1) {
+    return {id, true, false, session, 0, {}};
+}
+
+TEST(Follower, TakesPiecesInTheirOrderOfOneLeadershipAtATime) {
+    Follower f(9);
+    struct Case {
+        const char* name;
+        std::uint64_t version, number;
+        wire::PeerMachineRow row;
+        bool taken;
+        std::size_t rows;
+    };
+    auto gone = row_of("vm-1");
+    gone.gone = true;
+    const Case cases[] = {
+        {"the first", 5, 3, row_of("vm-1"), true, 1},
+        {"more", 5, 4, row_of("vm-2"), true, 2},
+        {"held up, and older than what came", 5, 2, gone, false, 2},
+        {"again", 5, 4, gone, false, 2},
+        {"a machine is gone", 5, 6, gone, true, 1},
+        {"of the leader before, which woke", 4, 90, row_of("vm-7"), false, 1},
+        {"of the next leader: what came before is over", 8, 1, row_of("vm-3"), true, 1},
+    };
+    for (auto& c : cases) {
+        SCOPED_TRACE(c.name);
+        auto a = f.take({c.version, c.number, {c.row}});
+        EXPECT_EQ(a.taken, c.taken);
+        EXPECT_EQ(a.incarnation, 9u);
+        EXPECT_EQ(f.copy().rows.size(), c.rows);
+    }
+    EXPECT_EQ(f.copy().version, 8u);
+}
+
+// Each check, left out, would let a start that was sent go unnoticed: the rule in doubt is `ran_twice`.
+TEST(Checks, ACopyIsProofOnlyIfNothingCanBeMissingFromIt) {
+    Copy copy{20, 7, {}};
+    Evidence good{
+        "me", 3,  40,   wire::StandbyRecord{20, {{"me", 3}, {"other", 4}}}, {{{10, false}, {20, true}}, 25},
+        true, {}, &copy};
+    struct Case {
+        const char* name;
+        std::function<void(Evidence&)> change;
+        bool proof;
+    };
+    Copy older{10, 7, {}};
+    const Case cases[] = {
+        {"all is well", [](Evidence&) {}, true},
+        {"no record: the leader may never have waited for anybody", [](Evidence& e) { e.record.reset(); },
+         false},
+        {"the record is of this leadership", [](Evidence& e) { e.record->version = 40; }, false},
+        {"it was taken out, and starts have gone without it since",
+         [](Evidence& e) {
+             e.record->members = {{"other", 4}};
+         },
+         false},
+        {"another process of this controller was named",
+         [](Evidence& e) {
+             e.record->members = {{"me", 2}};
+         },
+         false},
+        {"the copy is of the leader before", [&](Evidence& e) { e.copy = &older; }, false},
+        {"nothing was taken in", [](Evidence& e) { e.copy = nullptr; }, false},
+        {"what came after the last watch is not known", [](Evidence& e) { e.history = false; }, false},
+        {"it was away, and saw only a later leader",
+         [](Evidence& e) {
+             e.chain.links = {{30, true}};
+         },
+         false},
+        {"a leader that keeps a record won and ended before it started anything",
+         [](Evidence& e) {
+             e.chain.links.push_back({30, true});
+         },
+         true},
+        {"an old version led in between",
+         [](Evidence& e) {
+             e.chain.links.push_back({30, false});
+         },
+         false},
+        {"an old version led in between, found after the claim",
+         [](Evidence& e) {
+             e.since = {{30, false}};
+         },
+         false},
+        {"two that keep records led in between, found after the claim",
+         [](Evidence& e) {
+             e.since = {{30, true}, {35, true}};
+         },
+         true},
+    };
+    for (auto& c : cases) {
+        SCOPED_TRACE(c.name);
+        auto e = good;
+        c.change(e);
+        auto wrong = judge(e);
+        EXPECT_EQ(!wrong, c.proof) << wrong.value_or("");
+    }
+    EXPECT_EQ(checks().size(), 5u);
+}
+
+struct Bench {
+    static config::Settings settings_for() {
+        config::Settings s;
+        s.report_s = 4;
+        s.lease_s = 30;
+        s.state_rps = 100;
+        s.state_write_rps = 50;
+        s.value_kb = s.safe_value_kb = 16;
+        s.txn_ops = 8;
+        s.peers = {{"x", "a", "x:1"}, {"y", "b", "y:1"}};
+        return s;
+    }
+    Bench() {
+        spdlog::set_level(spdlog::level::off);
+        service.others = [this](const std::string& addr, const http::Request& r, double timeout,
+                                http::Result result) {
+            auto& f = followers.at(addr.substr(0, 1));
+            std::optional<http::Response> answer;
+            if (!f.silent) {
+                auto piece = wire::unpack_peer<wire::PeerFleet>(r.body);
+                answer = http::Response{200, wire::pack_peer(f.follower.take(std::move(*piece)))};
+            }
+            timers.after(answer ? 0.01 : timeout, [answer, result] { result(answer); });
+        };
+    }
+    struct Peer {
+        Follower follower;
+        bool silent = false;
+    };
+    std::set<std::string> named() {
+        std::set<std::string> out;
+        auto it = service.kv.find(state::keys::standby);
+        if (it != service.kv.end())
+            for (auto& m : it->second.first["members"]) out.insert(m["label"].get<std::string>());
+        return out;
+    }
+    FakeTimers timers;
+    FakeState service{timers};
+    config::Settings settings = settings_for();
+    state::Client client{timers, service, settings};
+    std::map<std::string, Peer> followers{{"x", {Follower(1)}}, {"y", {Follower(2)}}};
+    std::map<std::string, std::uint64_t> machines{{"vm-1", 1}, {"vm-2", 1}};
+    bool authority = true;
+    Teller teller{timers,
+                  service,
+                  settings,
+                  client,
+                  50,
+                  {[this](const std::string& id) { return std::optional(row_of(id, machines.at(id))); },
+                   [this] {
+                       std::vector<std::string> ids;
+                       for (auto& [id, s] : machines) ids.push_back(id);
+                       return ids;
+                   },
+                   [this] { return authority ? std::optional(wire::Txn{}) : std::nullopt; },
+                   [](const std::string&) { return true; }, [] {}}};
+    std::uint64_t start(const std::string& id) {
+        ++machines[id];
+        teller.changed(id);
+        teller.hurry();
+        return teller.mark();
+    }
+};
+
+TEST(Teller, AStartWaitsForAllThatTheRecordNames) {
+    Bench b;
+    b.followers.at("y").silent = true;
+    b.teller.start(0);
+    EXPECT_FALSE(b.teller.told(b.start("vm-1")));  // an earlier record may still stand
+    b.timers.run_until(1);
+    EXPECT_EQ(b.named(), std::set<std::string>{"x"});
+    auto mark = b.start("vm-1");
+    EXPECT_FALSE(b.teller.told(mark));
+    b.timers.run_until(1.05);
+    EXPECT_TRUE(b.teller.told(mark));
+    EXPECT_EQ(b.followers.at("x").follower.copy().rows.at("vm-1").session, b.machines["vm-1"]);
+    // One that does not answer any more holds starts up until it is taken out, and no longer.
+    b.followers.at("x").silent = true;
+    mark = b.start("vm-2");
+    for (double t = 1.1; !b.teller.told(mark) && t < 6; t += 0.01) {
+        b.timers.run_until(t);
+        if (b.teller.told(mark)) {
+            EXPECT_TRUE(b.named().empty());
+        }
+    }
+    EXPECT_TRUE(b.teller.told(mark));
+    EXPECT_LT(b.timers.now(), 1.1 + 4.0 / 5 + 0.1);
+}
+
+// A write that names somebody and was not answered may be executed at any later time, until one on the
+// version after it is confirmed.
+TEST(Teller, WhoMayComeToBeNamedCounts) {
+    for (auto fate : {FakeState::Fate::lost_after, FakeState::Fate::late, FakeState::Fate::never}) {
+        SCOPED_TRACE(static_cast<int>(fate));
+        Bench b;
+        b.followers.at("y").silent = true;
+        b.service.fates = {FakeState::Fate::answered, fate};  // the first names nobody
+        b.teller.start(0);
+        for (double t = 0.1; t < 12; t += 0.05) {
+            b.timers.run_until(t);
+            if (t > 0.3) b.followers.at("x").silent = true;
+            auto mark = b.start("vm-1");
+            bool knows = b.followers.at("x").follower.copy().rows.at("vm-1").session == b.machines["vm-1"];
+            if (!knows && b.teller.told(mark)) {
+                EXPECT_FALSE(b.named().contains("x")) << t;
+            }
+        }
+        EXPECT_TRUE(b.named().empty());
+        EXPECT_TRUE(b.teller.told(b.teller.mark()));
+    }
+}
+
+// It begins anew while the record still names it: nothing counts as told before all is.
+TEST(Teller, WhoBeginsAnewIsToldAllBeforeAnythingCounts) {
+    Bench b;
+    b.followers.at("y").silent = true;
+    for (int k = 0; k < 600; ++k) b.machines["vm-" + std::to_string(1000 + k)] = 1;
+    b.teller.start(0);
+    b.timers.run_until(2);
+    ASSERT_EQ(b.named(), std::set<std::string>{"x"});
+    auto mark = b.start("vm-1599");
+    b.followers.at("x").silent = true;
+    b.authority = false;  // the record stays as it is
+    b.timers.run_until(4);
+    b.followers.at("x").silent = false;
+    for (double t = 4; t < 12; t += 0.005) {
+        b.timers.run_until(t);
+        b.teller.tick();
+        bool knows = b.followers.at("x").follower.copy().rows.at("vm-1599").session == b.machines["vm-1599"];
+        if (!knows) {
+            ASSERT_FALSE(b.teller.told(mark)) << t;
+        }
+    }
+    EXPECT_TRUE(b.teller.told(mark));
+}
+
+// What the leader before knew stays on the machine until a report under the new token shows otherwise.
+TEST(Inherited, TasksLeaveOnProofOnly) {
+    struct Case {
+        const char* name;
+        std::uint64_t session, token;
+        bool shown;
+        std::size_t left, ends;
+    };
+    const std::uint64_t mine = 7ull << fleet::Picture::token_bits, before = mine - 5;
+    const Case cases[] = {
+        {"a report from before the takeover does not show it: its `run` may come yet", 3, before, false, 1,
+         0},
+        {"one under the new token does not show it", 3, mine, false, 0, 1},
+        {"one under the new token shows it", 3, mine, true, 1, 0},
+        {"a later session: all of the old one was killed", 4, before, false, 0, 1},
+        {"a report of an earlier session came late", 2, mine, false, 1, 0},
+    };
+    for (auto& c : cases) {
+        SCOPED_TRACE(c.name);
+        std::vector<wire::MachineType> types;
+        fleet::Picture p(7, types);
+        auto& m = p.add("vm-1", "a:1", "g", "z", false, fleet::Machine::Life::up, 0);
+        m.known = m.stored = true;
+        m.session = 3;
+        auto spec = std::make_shared<wire::Job>();
+        spec->id = "j-1";
+        p.inherit(m, {"j-1", 0}, spec, 11, 0);
+        wire::Report r;
+        r.machine = "vm-1";
+        r.session = c.session;
+        r.sequence = 20;
+        r.token = c.token;
+        if (c.shown) r.tasks.push_back({{"j-1", 0}, 11, wire::TaskState::running, wire::Cause::none, false});
+        auto heard = p.hear(r, fleet::Via::hello, 1, [&](auto&) { return spec; });
+        EXPECT_EQ(m.tasks.size(), c.left);
+        EXPECT_EQ(heard.ends.size(), c.ends);
+        EXPECT_TRUE(heard.found.empty());
+    }
+}
+
+}  // namespace
+}  // namespace coralhitch::standby
+
+namespace coralhitch::standin {
+namespace {
+
+std::size_t lead(World& w) {
+    return static_cast<std::size_t>(std::max(0, w.leader()));
+}
+bool runs(const http::Request& r) {
+    return r.target == wire::paths::commands && r.body.find("\"run\"") != std::string::npos;
+}
+
+// Jobs of every kind come all the time, so that starts are on their way at any moment.
+void work(World& w, double until) {
+    int n = 0;
+    for (double t = 2; t < until; t += 2.5, ++n)
+        w.at(t, [&w, n] {
+            auto id = "j-" + std::to_string(100 + n);
+            if (n % 5 == 0) w.submit(id, "service", 2, 0, {{"driftwood", false}, {"scatter", true}});
+            if (n % 5 == 1) w.submit(id, "gang", 3, 6, {{"together", true}, {"crew", "tight"}});
+            if (n % 5 >= 2) w.submit(id, "batch", 6, 4, {{"crew", n % 2 ? "tight" : "free"}});
+            if (n % 7 == 3) w.at(w.now() + 6, [&w, id] { w.cancel(id); });
+        });
+    for (int k = 0; k < n; k += 5) w.at(until + 30, [&w, k] { w.cancel("j-" + std::to_string(100 + k)); });
+}
+void ends_well(World& w) {
+    for (auto& b : w.broken) ADD_FAILURE() << b;
+    EXPECT_GT(w.starts, 40u);
+    for (auto& [id, told] : w.jobs) {
+        EXPECT_TRUE(told.accepted) << id;
+        EXPECT_TRUE(told.done || told.cancelled) << id << " has not ended";
+    }
+}
+
+// The leader ends right after a message of some kind is sent, for the n-th time from some moment on; its
+// successor likewise, if the case says so. Machines die or hang over it.
+struct Fault {
+    const char* name;
+    std::function<bool(const http::Request&)> message;
+    std::function<void(World&, std::size_t leader)> what;
+};
+const Fault faults[] = {
+    {"a start is told", [](auto& r) { return r.target == wire::peer_fleet_path; },
+     [](World& w, std::size_t l) { w.crash(l, 5); }},
+    {"a start is sent", runs, [](World& w, std::size_t l) { w.crash(l, 5); }},
+    {"a start is sent, and the next leader ends before it has settled", runs,
+     [](World& w, std::size_t l) {
+         w.crash(l, 9);
+         auto again = std::make_shared<std::function<void()>>();
+         *again = [&w, l, again] {
+             if (w.leader() >= 0 && lead(w) != l) return w.crash(lead(w), 3);
+             w.at(w.now() + 0.02, *again);
+         };
+         w.at(w.now() + 0.02, *again);
+     }},
+    {"a page or a record is stored",
+     [](auto& r) {
+         return r.target == "/txn" && (r.body.find("mach/") != std::string::npos ||
+                                       r.body.find("\"standby\"") != std::string::npos);
+     },
+     [](World& w, std::size_t l) { w.crash(l, 5); }},
+    {"a start is sent, and the leader stands still, then goes on", runs,
+     [](World& w, std::size_t l) { w.stand_still(l, 14); }},
+    {"a start is told to one that is cut off, its messages held",
+     [](auto& r) { return r.target == wire::peer_fleet_path; },
+     [](World& w, std::size_t l) {
+         w.cut("10.0.0." + std::to_string((l + 1) % 3 + 1), "10.", 25, true);
+         w.at(w.now() + 4, [&w, l] { w.crash(l, 5); });
+     }},
+    {"a start is sent while the state service is out", runs,
+     [](World& w, std::size_t l) {
+         w.state_down(10);
+         w.crash(l, 5);
+     }},
+    {"a third of the machines and two controllers at once", runs,
+     [](World& w, std::size_t l) {
+         for (std::size_t k = 0; k < 4; ++k) w.die(3 * k);
+         w.crash(l, 5);
+         w.crash((l + 1) % 3, 7);
+     }},
+    {"the leader is cut off with a zone, packets held", runs,
+     [](World& w, std::size_t l) { w.cut("10.0.0." + std::to_string(l + 1), "10.", 30, true); }},
+};
+
+void play(const Fault& f, std::uint64_t seed, std::set<std::size_t> without = {}) {
+    SCOPED_TRACE(std::string(f.name) + ", seed " + std::to_string(seed));
+    Options o;
+    o.seed = seed;
+    o.machines = 12;
+    o.without_standby = std::move(without);
+    World w(o);
+    work(w, 110);
+    std::mt19937_64 random(seed);
+    for (double t : {30.0, 60.0, 90.0}) {
+        std::size_t hung = random() % 12, dead = random() % 12;
+        auto left = std::make_shared<std::size_t>(1 + random() % 6);
+        auto with_machines = random() % 3;
+        w.at(t, [&w, &f, left, hung, dead, with_machines] {
+            w.sent = [&w, &f, left, hung, dead, with_machines](const std::string& from, const std::string&,
+                                                               const http::Request& r) {
+                if (*left == 0 || w.leader() < 0 || from != w.addr_of(lead(w)) || !f.message(r)) return;
+                if (--*left > 0) return;
+                if (with_machines > 0) w.hang(hung, 8.0 * static_cast<double>(with_machines));
+                if (with_machines > 1) w.die(dead);
+                f.what(w, lead(w));
+            };
+        });
+    }
+    w.run_until(230);
+    ends_well(w);
+}
+// A case for each fault, so that they can be played side by side.
+class Ends : public testing::TestWithParam<std::size_t> {
+  protected:
+    void SetUp() override { spdlog::set_level(spdlog::level::off); }
+    const Fault& fault() const { return faults[GetParam()]; }
+};
+INSTANTIATE_TEST_SUITE_P(Standby, Ends, testing::Range<std::size_t>(0, std::size(faults)));
+TEST_P(Ends, KeepTheRules) {
+    const char* more = std::getenv("CORALHITCH_SEEDS");  // by hand
+    std::uint64_t seeds = more ? std::stoull(more) : 16;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) play(fault(), seed);
+}
+// One of the controllers, or two, are of a version that tells and follows nobody.
+TEST_P(Ends, KeepTheRulesBesideAVersionWithoutStandby) {
+    play(fault(), 51, {0});
+    play(fault(), 52, {1, 2});
+}
+
+// One dead machine of many used to hold up the first start until it was proven gone.
+TEST(Standby, ADeadMachineHoldsNothingUp) {
+    spdlog::set_level(spdlog::level::off);
+    for (bool standby : {true, false}) {
+        Options o;
+        o.machines = 5;
+        if (!standby) o.without_standby = {0, 1, 2};
+        World w(o);
+        w.at(2, [&w] { w.submit("j-1", "service", 15, 0); });
+        w.run_until(30);
+        w.cloud_down(60);  // so that it is proven gone by its lease alone
+        std::size_t used = 0;
+        while (used + 1 < w.workers.size() && w.workers[used]->tasks.empty()) ++used;
+        w.die(used);
+        w.crash(lead(w), 60);
+        w.at(30.1, [&w] { w.submit("j-2", "batch", 1, 2); });
+        w.run_until(50);
+        EXPECT_EQ(w.jobs["j-2"].done, standby);
+        for (auto& b : w.broken) ADD_FAILURE() << b;
+    }
+}
+
+}  // namespace
+}  // namespace coralhitch::standin
--- a/tests/standin.cpp
+++ b/tests/standin.cpp
@@ -76,6 +76,7 @@
         s.gang_wait_s = 50;
         s.gang_peer_s = 5;
         s.op.hearing = options_.hearing;
+        s.op.standby = !options_.without_standby.contains(k);
         s.state_rps = 200;
         s.state_write_rps = 80;
         s.value_kb = options_.value_kb;
@@ -146,6 +147,17 @@
     graveyard_.push_back(std::move(dead));
     at(now_ + back_after, [this, k] { boot(k); });
 }
+std::string World::told_by(std::size_t k, const std::string& gauge) {
+    std::string value;
+    if (nodes_[k].up)
+        nodes_[k].controller->serve({"GET", "/metrics", {}}, [&](http::Response r) {
+            auto at = r.body.find("{of=\"" + gauge + "\"} ");
+            if (at == std::string::npos) return;
+            at = r.body.find(' ', at) + 1;
+            value = r.body.substr(at, r.body.find('\n', at) - at);
+        });
+    return value;
+}
 void World::stand_still(std::size_t k, double for_s) {
     if (nodes_[k].up) nodes_[k].timers->stand_still(now_ + for_s);
 }
@@ -172,6 +184,7 @@
 
 void World::send(const std::string& from, const std::string& to, http::Request r, double timeout,
                  http::Result result) {
+    if (sent) at(now_, [this, from, to, r] { sent(from, to, r); });
     auto done = std::make_shared<bool>(false);
     auto end = [done, result](std::optional<http::Response> answer) {
         if (std::exchange(*done, true)) return;
--- a/tests/standin.hpp
+++ b/tests/standin.hpp
@@ -90,7 +90,9 @@
     std::size_t machines = 6;
     double report_s = 3, lease_s = 24, cancel_s = 44;
     double gpus_max = 12;
-    double boot_s = 1;       // what a machine takes; the nominal time is 5 s
+    double boot_s = 1;  // what a machine takes; the nominal time is 5 s
+    std::set<std::size_t>
+        without_standby;     // controllers of a version, or with settings, that know no standby
     bool hearing = true;     // controllers that do not lead hear workers for the one that does
     double hear_s = 0;       // what a controller takes for each message of a worker; the next ones wait
     bool old_pings = false;  // what controllers say of themselves is as the version before says it
@@ -136,6 +138,9 @@
         nodes_[node].controller->serve({"POST", "/api/jobs", body}, std::move(done));
     }
     void poll_all();
+    // Called with each message as it is sent, so that a fault can be placed right after it.
+    std::function<void(const std::string& from, const std::string& to, const http::Request&)> sent;
+    std::string told_by(std::size_t node, const std::string& gauge);  // of its /metrics
     bool cancel_wanted(const std::string& id) const;  // of the job itself, or of one that it needs
 
     // Network, for the hosts' requesters
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -169,14 +169,19 @@
     }
 }
 
-TEST(Takeover, KeepsTheRules) {
-    spdlog::set_level(spdlog::level::off);
-    for (auto& t : troubles)
-        for (std::uint64_t seed : {1, 2, 3}) play(t, seed);
+class Troubles : public testing::TestWithParam<std::size_t> {
+  protected:
+    void SetUp() override { spdlog::set_level(spdlog::level::off); }
+};
+INSTANTIATE_TEST_SUITE_P(Takeover, Troubles, testing::Range<std::size_t>(0, std::size(troubles)));
+TEST_P(Troubles, KeepTheRules) {
+    for (std::uint64_t seed : {1, 2, 3}) play(troubles[GetParam()], seed);
 }
-TEST(Takeover, KeepsTheRulesAtRandom) {
+class AtRandom : public testing::TestWithParam<std::uint64_t> {};
+INSTANTIATE_TEST_SUITE_P(Takeover, AtRandom, testing::Range<std::uint64_t>(0, 4));
+TEST_P(AtRandom, KeepsTheRules) {
     spdlog::set_level(spdlog::level::off);
-    for (std::uint64_t seed = 10; seed < 30; ++seed) play(std::end(troubles)[-1], seed);
+    for (std::uint64_t seed = 10 + GetParam(); seed < 30; seed += 4) play(std::end(troubles)[-1], seed);
 }
 
 // A leader that no longer hears the workers must not take them for gone one by one: the other controllers
