Reports are held over a takeover instead of refused

Change: a hearer whose leader has ended or does not answer keeps reports for three quarters of the time that workers wait, for at most one and a half leases of the leader, and sends them to the next one. What waits when it comes to lead itself it answers itself. Grants are not used meanwhile.

--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -80,6 +80,7 @@
     heard_.clear();
     leader_ = std::make_shared<Leader>(std::move(c), version, random_());
     leader_->start();
+    for (auto& [body, reply] : hearer_.take_waiting()) hello_later(std::move(body), std::move(reply));
     metrics_.event("won");
     store_types();
 }
--- a/src/hearing/hearer.cpp
+++ b/src/hearing/hearer.cpp
@@ -15,6 +15,8 @@
 // A worker waits longer than its controller does for the leader: the answer must still find it waiting.
 constexpr double patience_share = 0.5;
 constexpr std::size_t most_reports = 96;     // in a message: the leader reads them in one go
+constexpr double held_share = 0.75;          // of that patience, while nobody leads
+constexpr double hold_ttls = 1.5;            // a takeover as a rule takes no longer
 constexpr double message_share = 1.0 / 128;  // of the memory: what a message may hold
 // Read in full again after so many worker leases, whatever is repeated: what would otherwise hang on one
 // mistaken answer for ever is mended.
@@ -28,6 +30,8 @@
 
 void Hearer::start() {
     heed_leader();
+    if (link_ != Link::up) refuse_old(held_share);
+    if (!waiting_.empty() && !holds() && link_ == Link::down) refuse(waiting_);
     timers_.after(settings_.report_s * idle_reports / 2, guarded([this] { start(); }));
     if (timers_.now() - last_sent_ >= settings_.report_s * idle_reports) send();
 }
@@ -36,15 +40,41 @@
 void Hearer::heed_leader() {
     auto now = lead_();
     if (now == leader_) return;
+    if (link_ == Link::up) interrupted();
     leader_ = std::move(now);
     link_ = leader_.addr.empty() ? Link::down : Link::trying;
     granted_until_ = -1;
     memory_.clear();
     heard_.clear();
     // Those that wait have been read by nobody: the next leader may as well take them.
-    if (link_ == Link::down) refuse(waiting_);
     soon();
 }
+// The leader has ended, as it seems. Until the next one takes what is sent its workers are kept waiting for
+// as long as they do: refused, all of a large fleet called every controller each second, and the next leader
+// came up so far behind that it lost its lease.
+void Hearer::interrupted() {
+    up_until_ = timers_.now();
+}
+bool Hearer::holds() const {
+    double ttl = settings_.lease_s * settings_.op.lease_ratio;
+    return settings_.op.hearing && up_until_ >= 0 && timers_.now() - up_until_ < ttl * hold_ttls;
+}
+void Hearer::refuse_old(double share) {
+    while (!waiting_.empty() && timers_.now() - waiting_.front().since > wire::worker_patience_s * share) {
+        ++dropped_;
+        waiting_.front().reply({503, "{}"});
+        waiting_.pop_front();
+    }
+}
+std::deque<std::pair<std::string, http::Reply>> Hearer::take_waiting() {
+    refuse_old(patience_share);
+    std::deque<std::pair<std::string, http::Reply>> out;
+    for (auto& w : std::exchange(waiting_, {})) out.emplace_back(std::move(w.body), std::move(w.reply));
+    return out;
+}
+void Hearer::put_back(std::deque<Waiting> batch) {
+    for (auto w = batch.rbegin(); w != batch.rend(); ++w) waiting_.push_front(std::move(*w));
+}
 bool Hearer::may_answer() const {
     return timers_.now() < granted_until_;
 }
@@ -54,9 +84,9 @@
 
 bool Hearer::offer(std::string& body, http::Reply& reply) {
     heed_leader();
-    if (link_ == Link::down) return false;
+    if (link_ == Link::down && !holds()) return false;
     double t = timers_.now();
-    if (auto o = wire::outline_report(body); o && may_answer()) {
+    if (auto o = wire::outline_report(body); o && link_ == Link::up && may_answer()) {
         auto* r = memory_.repeats(body, *o);
         if (r && t - r->since < settings_.lease_s * memory_leases) {
             r->sequence = o->sequence;
@@ -124,16 +154,17 @@
     std::optional<wire::PeerRelayAnswer> a;
     if (r && r->status == 200) a = wire::unpack_peer<wire::PeerRelayAnswer>(r->body);
     if (!a || !a->leads || !(to == leader_)) {
-        if (to == leader_) {
-            link_ = Link::down;
-            refuse(waiting_);
-        }
+        if (link_ == Link::up) interrupted();
+        if (to == leader_) link_ = Link::down;
+        // It says that it does not lead, or nothing at all: what it may have taken in it has not answered.
+        if (holds()) return put_back(std::move(batch));
+        if (to == leader_) refuse(waiting_);
         return refuse(batch);
     }
     link_ = Link::up;
     if (!a->ready) {
         // It has only begun to lead: what waits is sent again, as long as its workers wait.
-        for (auto w = batch.rbegin(); w != batch.rend(); ++w) waiting_.push_front(std::move(*w));
+        put_back(std::move(batch));
         if (!waiting_.empty()) soon();
         return;
     }
--- a/src/hearing/hearer.hpp
+++ b/src/hearing/hearer.hpp
@@ -35,9 +35,13 @@
     Hearer& operator=(const Hearer&) = delete;
 
     void start();
-    // Takes a report and will answer it, or leaves both arguments as they are and returns false.
+    // Takes a report and will answer it, perhaps only once there is a leader again, or leaves both arguments
+    // as they are and returns false.
     bool offer(std::string& body, http::Reply& reply);
 
+    // The reports that wait, for when this controller leads itself.
+    std::deque<std::pair<std::string, http::Reply>> take_waiting();
+
     std::uint64_t repeated() const { return repeated_; }  // reports answered here
     std::uint64_t relayed() const { return relayed_; }    // reports that went to the leader
     std::uint64_t dropped() const { return dropped_; }    // reports whose workers had given up waiting
@@ -48,11 +52,16 @@
         http::Reply reply;
         double since = 0;
     };
-    // Whether the leader takes what is sent: not known yet, yes, or not the last time.
+    // Whether the leader takes what is sent: not known yet, yes, or there is none or it did not the last
+    // time.
     enum class Link { trying, up, down };
     void heed_leader();
     bool may_answer() const;
     void refuse(std::deque<Waiting>& waiting);
+    void put_back(std::deque<Waiting> batch);
+    void interrupted();
+    bool holds() const;
+    void refuse_old(double share);
     void soon();
     void send();
     void answered(std::uint64_t number, double sent, const Leadership& to, std::deque<Waiting> batch,
@@ -73,6 +82,7 @@
     Leadership leader_;
     Link link_ = Link::down;
     double granted_until_ = -1;
+    double up_until_ = -1;  // when a leader was last known to take what is sent
     Memory memory_;
     std::deque<Waiting> waiting_;
     std::unordered_map<std::string, double> heard_;  // answered here since the last message, and when
