A machine that has not settled is fenced though it is asked all the time

Cause: since a machine is not fenced while it is being asked, one that has not settled, which is asked again and again without a pause, was fenced only when its lease was out.

Change: that holds for machines that have settled, and not beyond the lease.

--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -588,8 +588,11 @@
         plan_soon();
     }
     if (m.life != Machine::Life::up) return;
-    // Not while it is being asked: its answer may lie unread until the time for it is up.
-    if (settling_.silence(m, t) > wait && !m.probing && (fence || (lease_over && authority()))) {
+    // One that has settled is not fenced while it is being asked: its answer may lie unread until the time
+    // for it is up. One that has not is asked again and again, without a pause; it was waited for then until
+    // its lease was out, and nothing placed meanwhile.
+    bool asked_now = m.settled && m.probing && !lease_over;
+    if (settling_.silence(m, t) > wait && !asked_now && (fence || (lease_over && authority()))) {
         std::lock_guard lock(mutex_);
         fenced_.push_back(t);
         condemn(m, "is silent");
