--- a/src/hearing/hearer.cpp
+++ b/src/hearing/hearer.cpp
@@ -32,7 +32,7 @@
     heed_leader();
     if (link_ != Link::up) refuse_old(held_share);
     if (!waiting_.empty() && !holds() && link_ == Link::down) refuse(waiting_);
-    timers_.after(settings_.report_s * idle_reports / 2, guarded([this] { start(); }));
+    timers_.after(settings_.report_s * idle_reports / 2, guarded_([this] { start(); }));
     if (timers_.now() - last_sent_ >= settings_.report_s * idle_reports) send();
 }
 
@@ -105,7 +105,7 @@
     if (busy_ || armed_) return;
     armed_ = true;
     double wait = std::max(0.0, last_sent_ + settings_.report_s * gap_reports - timers_.now());
-    timers_.after(wait, guarded([this] {
+    timers_.after(wait, guarded_([this] {
                       armed_ = false;
                       send();
                   }));
@@ -142,7 +142,7 @@
     http_.send(leader_.addr,
                {"POST", std::string(wire::peer_relay_path), wire::pack_peer(m), "application/msgpack"},
                wire::worker_patience_s * patience_share,
-               guarded([this, number = number_, t, to = leader_, shared](std::optional<http::Response> r) {
+               guarded_([this, number = number_, t, to = leader_, shared](std::optional<http::Response> r) {
                    answered(number, t, to, std::move(*shared), r);
                }));
 }
--- a/src/hearing/hearer.hpp
+++ b/src/hearing/hearer.hpp
@@ -14,6 +14,7 @@
 #include "config/settings.hpp"
 #include "hearing/memory.hpp"
 #include "http/message.hpp"
+#include "loop/guard.hpp"
 #include "loop/timers.hpp"
 #include "wire/peer.hpp"
 
@@ -67,12 +68,6 @@
     void answered(std::uint64_t number, double sent, const Leadership& to, std::deque<Waiting> batch,
                   const std::optional<http::Response>& r);
     void keep(Waiting w, const wire::PeerRelayed& a);
-    template <class F>
-    auto guarded(F f) {
-        return [alive = std::weak_ptr<int>(alive_), f = std::move(f)](auto&&... a) mutable {
-            if (!alive.expired()) f(std::forward<decltype(a)>(a)...);
-        };
-    }
 
     loop::Timers& timers_;
     http::Requester& http_;
@@ -90,7 +85,7 @@
     double last_sent_ = -1;
     std::uint64_t number_ = 0, taken_in_ = 0;
     std::uint64_t repeated_ = 0, relayed_ = 0, dropped_ = 0;
-    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+    loop::Guard guarded_;  // last, so that it goes first
 };
 
 }  // namespace coralhitch::hearing
--- a/src/pages/machine_store.cpp
+++ b/src/pages/machine_store.cpp
@@ -174,7 +174,7 @@
 void MachineStore::later(double seconds) {
     if (armed_) return;
     armed_ = true;
-    timers_.after(seconds, guarded([this] {
+    timers_.after(seconds, guarded_([this] {
                       armed_ = false;
                       flush();
                   }));
@@ -197,7 +197,7 @@
 // The answer to a write was lost, or its condition failed: what does the key hold now?
 void MachineStore::read_again(std::size_t n) {
     busy_ = true;
-    state_.get(keys::machine_page(n), Rank::write, guarded([this, n](state::Found f) {
+    state_.get(keys::machine_page(n), Rank::write, guarded_([this, n](state::Found f) {
                    busy_ = false;
                    if (!f.ok) return later(settings_.report_s * retry_reports);
                    pages_[n].version = f.entry ? f.entry->version : 0;
@@ -256,7 +256,7 @@
     if (t->changes.empty()) return;
     busy_ = true;
     state_.txn(std::move(*t), urgent ? Rank::write : Rank::background,
-               guarded([this, pages, records](Committed c) { written(pages, records, c); }));
+               guarded_([this, pages, records](Committed c) { written(pages, records, c); }));
 }
 
 void MachineStore::written(const std::vector<Written>& pages, const std::vector<Record>& records,
--- a/src/pages/machine_store.hpp
+++ b/src/pages/machine_store.hpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "config/settings.hpp"
+#include "loop/guard.hpp"
 #include "loop/timers.hpp"
 #include "state/client.hpp"
 
@@ -65,12 +66,6 @@
     void written(const std::vector<Written>& pages, const std::vector<Record>& records,
                  const state::Committed& c);
     void later(double seconds);
-    template <class F>
-    auto guarded(F f) {
-        return [alive = std::weak_ptr<int>(alive_), f = std::move(f)](auto&&... a) mutable {
-            if (!alive.expired()) f(std::forward<decltype(a)>(a)...);
-        };
-    }
 
     loop::Timers& timers_;
     state::Client& state_;
@@ -82,7 +77,7 @@
     std::set<std::string> old_keys_;  // of the layout with a key for each machine
     bool busy_ = false, armed_ = false;
     double last_write_ = -1, last_tidy_ = -1;
-    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+    loop::Guard guarded_;  // last, so that it goes first
 };
 
 }  // namespace coralhitch::pages
--- a/src/standby/teller.cpp
+++ b/src/standby/teller.cpp
@@ -90,7 +90,7 @@
 }
 void Teller::soon() {
     if (std::exchange(armed_, true)) return;
-    timers_.after(settings_.report_s * gap_reports, guarded([this] {
+    timers_.after(settings_.report_s * gap_reports, guarded_([this] {
                       armed_ = false;
                       send_all();
                   }));
@@ -131,7 +131,7 @@
     ++pieces_;
     http_.send(s.peer.addr,
                {"POST", std::string(wire::peer_fleet_path), wire::pack_peer(piece), "application/msgpack"},
-               patience(s), guarded([this, &s, round = s.round, upto, ids](std::optional<http::Response> r) {
+               patience(s), guarded_([this, &s, round = s.round, upto, ids](std::optional<http::Response> r) {
                    answered(s, round, upto, ids, r);
                }));
 }
@@ -154,7 +154,7 @@
             s.queued.insert(id);
             s.queue.emplace_front(s.told + 1, id);
         }
-        timers_.after(patience(s) * again_share, guarded([this, &s, round] {
+        timers_.after(patience(s) * again_share, guarded_([this, &s, round] {
                           if (round == s.round) send(s);
                       }));
         return;
@@ -196,7 +196,7 @@
     for (auto& m : members) attempted_.insert(m.label);
     writing_ = true;
     // No start is sent before it is answered, so it waits for nothing else.
-    state_.txn(std::move(*t), state::Rank::lease, guarded([this, members](Committed c) {
+    state_.txn(std::move(*t), state::Rank::lease, guarded_([this, members](Committed c) {
                    writing_ = false;
                    if (c.status == Committed::Status::committed) {
                        record_version_ = c.revision;
@@ -213,14 +213,14 @@
 }
 void Teller::write_later() {
     if (std::exchange(writing_, true)) return;
-    timers_.after(settings_.report_s * write_again_reports, guarded([this] {
+    timers_.after(settings_.report_s * write_again_reports, guarded_([this] {
                       writing_ = false;
                       write_record();
                   }));
 }
 void Teller::read_record() {
     writing_ = true;
-    state_.get(keys::standby, state::Rank::lease, guarded([this](state::Found f) {
+    state_.get(keys::standby, state::Rank::lease, guarded_([this](state::Found f) {
                    writing_ = false;
                    if (f.ok) {
                        record_version_ = f.entry ? f.entry->version : 0;
--- a/src/standby/teller.hpp
+++ b/src/standby/teller.hpp
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "config/settings.hpp"
+#include "loop/guard.hpp"
 #include "loop/timers.hpp"
 #include "state/client.hpp"
 #include "wire/peer.hpp"
@@ -76,12 +77,6 @@
     void read_record();
     void write_later();
     double patience(const Standby& s) const;
-    template <class F>
-    auto guarded(F f) {
-        return [alive = std::weak_ptr<int>(alive_), f = std::move(f)](auto&&... a) mutable {
-            if (!alive.expired()) f(std::forward<decltype(a)>(a)...);
-        };
-    }
 
     loop::Timers& timers_;
     http::Requester& http_;
@@ -96,7 +91,7 @@
     std::vector<Member> confirmed_;
     std::set<std::string> attempted_;  // named by writes since the last one that was confirmed
     std::uint64_t pieces_ = 0, dropped_ = 0;
-    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+    loop::Guard guarded_;  // last, so that it goes first
 };
 
 }  // namespace coralhitch::standby
--- a/src/takeover/reading.cpp
+++ b/src/takeover/reading.cpp
@@ -38,12 +38,12 @@
     settings_.op.standby ? read_record() : list_all();
 }
 void Reading::again() {
-    timers_.after(settings_.report_s * again_reports, guarded([this] { start(); }));
+    timers_.after(settings_.report_s * again_reports, guarded_([this] { start(); }));
 }
 
 // Who followed the leader before.
 void Reading::read_record() {
-    state_.get(keys::standby, Rank::write, guarded([this](state::Found f) {
+    state_.get(keys::standby, Rank::write, guarded_([this](state::Found f) {
                    if (!f.ok) return again();
                    found_.record_version = f.entry ? f.entry->version : 0;
                    evidence_.record.reset();
@@ -57,7 +57,7 @@
 }
 // Which leaders there were since this controller last knew.
 void Reading::read_history() {
-    state_.watch(keys::leader, evidence_.chain.known_until, 0, guarded([this](state::Watched w) {
+    state_.watch(keys::leader, evidence_.chain.known_until, 0, guarded_([this](state::Watched w) {
                      if (w.status == state::Watched::Status::failed) return again();
                      evidence_.history = w.status == state::Watched::Status::ok;
                      evidence_.since.clear();
@@ -68,7 +68,7 @@
                  }));
 }
 void Reading::list(const std::string& prefix, state::Listed Found::*into, std::function<void()> then) {
-    state_.list(prefix, Rank::write, guarded([this, into, then](state::Listed l) {
+    state_.list(prefix, Rank::write, guarded_([this, into, then](state::Listed l) {
                     if (!l.ok) return again();
                     found_.*into = std::move(l);
                     then();
--- a/src/takeover/reading.hpp
+++ b/src/takeover/reading.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "config/settings.hpp"
+#include "loop/guard.hpp"
 #include "loop/timers.hpp"
 #include "standby/checks.hpp"
 #include "state/client.hpp"
@@ -50,12 +51,6 @@
     void read_history();
     void list(const std::string& prefix, state::Listed Found::*into, std::function<void()> then);
     void list_all();
-    template <class F>
-    auto guarded(F f) {
-        return [alive = std::weak_ptr<int>(alive_), f = std::move(f)](auto&&... a) mutable {
-            if (!alive.expired()) f(std::forward<decltype(a)>(a)...);
-        };
-    }
 
     loop::Timers& timers_;
     state::Client& state_;
@@ -64,7 +59,7 @@
     standby::Evidence evidence_;
     std::function<void(Found)> done_;
     Found found_;
-    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+    loop::Guard guarded_;  // last, so that it goes first
 };
 
 }  // namespace coralhitch::takeover
