A copy is carried over to the next leader; who is started anew is told at once

Cause: each new leader told its followers all machines anew, and left out a process that was started anew for half a report period. Three leaders killed a second or two apart left nobody informed, and the third takeover waited for every machine.

Change: a leader whose own copy was proof names those that its predecessor named from its first record on, each with the leadership that began its copy; they go on from it. Nothing is told before the record is stored, so no copy is newer than it. A follower started anew is told as soon as it says so. A controller just started lets others answer before it claims.

--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -19,7 +19,7 @@
 constexpr std::uint64_t images_pings = 3;  // caches change slowly
 constexpr double pass_on_reports = 1.0 / 3;
 constexpr double types_reports = 20;
-constexpr double know_reports = 1.0 / 50;  // after the start: for the others to answer the first ping
+constexpr double know_reports = 1.0 / 5;  // after the start: for the others to answer the first ping
 // After giving way, a controller keeps its leadership for this many worker leases, even if it hears nobody.
 constexpr double resign_leases = 4;
 http::Response packed(std::string body) {
@@ -72,10 +72,9 @@
               [this] { return give_way(); },
               incarnation_,
               follower_.copy(),
-              [this](const std::string& label) {
+              [this](const std::string& label) -> const wire::PeerPing* {
                   auto it = peers_.find(label);
-                  return it != peers_.end() && fresh(it->second) &&
-                         it->second.last.features >= wire::peer_features_follow;
+                  return it != peers_.end() && fresh(it->second) ? &it->second.last : nullptr;
               }};
     heard_.clear();
     leader_ = std::make_shared<Leader>(std::move(c), version, random_());
@@ -109,11 +108,10 @@
 // stopped and replaced. Of two, at most one stands back for the other.
 bool Controller::stands_back() const {
     // Just started, it can't know yet.
-    if (timers_.now() - started_ < settings_.report_s * know_reports && !peers_.empty() &&
-        settings_.op.standby)
-        return true;
-    auto own = follower_.copy().version;
+    bool young = settings_.op.standby && timers_.now() - started_ < settings_.report_s * know_reports;
+    auto own = followed();
     for (auto& [label, p] : peers_) {
+        if (young && !p.answered) return true;
         if (!fresh(p) || !p.last.state_ok || p.last.features < wire::peer_features) continue;
         auto hears = p.last.workers.size();
         if (p.last.followed > own ? hears * 2 >= heard_.size()
@@ -122,6 +120,9 @@
     }
     return false;
 }
+std::uint64_t Controller::followed() const {
+    return follower_.copy().whole ? follower_.copy().version : 0;
+}
 bool Controller::give_way() {
     if (last_resigned_ >= 0 && timers_.now() - last_resigned_ < settings_.lease_s * resign_leases)
         return false;
@@ -162,7 +163,7 @@
                      {},
                      {},
                      wire::peer_features,
-                     follower_.copy().version};
+                     followed()};
     for (auto& [id, at] : heard_) {
         if (p.workers.size() >= most_named) break;
         p.workers.push_back(id);
@@ -173,8 +174,10 @@
     auto it = peers_.find(ping.label);
     if (it == peers_.end()) return;
     auto counts = std::exchange(ping.counts, {});
+    bool anew = it->second.last.incarnation != ping.incarnation;
     auto& last = it->second.last = std::move(ping);
     it->second.heard = timers_.now();
+    if (anew && leader_) leader_->started_anew(last.label, last.incarnation);
     if (!counts.empty() && last.leader == last.label) {
         counted_ = timers_.now();
         counts_.clear();
@@ -188,7 +191,8 @@
     auto body = wire::pack_peer(ping);
     for (auto& [label, p] : peers_)
         http_.send(p.peer.addr, {"POST", std::string(wire::peer_ping_path), body, "application/msgpack"},
-                   settings_.report_s * ping_reports, [this](std::optional<http::Response> r) {
+                   settings_.report_s * ping_reports, [this, &p](std::optional<http::Response> r) {
+                       p.answered = true;
                        if (!r || r->status != 200) return;
                        if (auto p = wire::unpack_peer<wire::PeerPing>(r->body)) heard_ping(std::move(*p));
                    });
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -35,6 +35,7 @@
         config::Peer peer;
         wire::PeerPing last;
         double heard = -1;
+        bool answered = false;  // the first ping, or the connection failed
     };
     void user_route(const http::Request& r, const std::string& path, http::Reply reply);
     void jobs_route(const http::Request& r, const std::string& path, http::Reply reply);
@@ -54,6 +55,7 @@
     bool fresh(const PeerState& p) const;
     std::optional<std::size_t> heard_elsewhere(const std::set<std::string>& machines) const;
     bool stands_back() const;
+    std::uint64_t followed() const;
     bool give_way();
     bool state_ok() const;
     void learn_types();
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -43,9 +43,10 @@
                [this](const takeover::Found& found) {
                    if (stopped_) return;
                    take_all(found);
+                   if (c_.settings.op.standby)
+                       teller_.start(found.record_version, found.inherits ? found.record : std::nullopt);
                    watch_jobs(found.jobs.revision);
                    loaded();
-                   if (c_.settings.op.standby) teller_.start(found.record_version);
                }),
       teller_(c_.timers, c_.http, c_.settings, c_.state, version,
               {[this](const std::string& id) { return row_of(id); },
@@ -54,7 +55,7 @@
                    for (auto& [id, m] : picture_.machines()) ids.push_back(id);
                    return ids;
                },
-               [this] { return authority() ? std::optional(leader_txn()) : std::nullopt; }, c_.follows,
+               [this] { return authority() ? std::optional(leader_txn()) : std::nullopt; }, c_.peer,
                [this] {
                    if (!stopped_) release_starts();
                }}) {
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -44,8 +44,9 @@
     const wire::PeerImages& remembered;  // what the leader before told of the machines' caches
     std::function<bool()> give_way;      // whether to resign for it; noted if so
     std::uint64_t incarnation;
-    const standby::Copy& copy;                              // of what the leader before knew of its machines
-    std::function<bool(const std::string& label)> follows;  // whether it can take what this one knows
+    const standby::Copy& copy;  // of what the leader before knew of its machines
+    // What another controller last said of itself, if that is not long ago.
+    std::function<const wire::PeerPing*(const std::string& label)> peer;
 };
 
 class Leader : public std::enable_shared_from_this<Leader> {
@@ -64,6 +65,9 @@
     std::vector<wire::PeerCount> all_counts();
     wire::PeerImages images() const;
     void types_changed();
+    void started_anew(const std::string& controller, std::uint64_t incarnation) {
+        teller_.started_anew(controller, incarnation);
+    }
     void cancelled(const std::string& id, std::uint64_t version);
     // How long after its authority has run out a leader goes on renewing workers' leases, without commands.
     static double keep_alive_s(const config::Settings& s, double ttl);
--- a/src/standby/checks.cpp
+++ b/src/standby/checks.cpp
@@ -11,12 +11,24 @@
 }
 // The leader sent no start that this process had not taken in before. Another process of this controller does
 // not count: it is gone, with all that it knew.
+const wire::StandbyRecord::Member* named(const Evidence& e) {
+    for (auto& m : e.record->members)
+        if (m.label == e.label && m.incarnation == e.incarnation) return &m;
+    return nullptr;
+}
 bool member(const Evidence& e) {
-    auto& m = e.record->members;
-    return std::find(m.begin(), m.end(), wire::StandbyRecord::Member{e.label, e.incarnation}) != m.end();
+    return named(e) != nullptr;
+}
+// A leader whose own copy was proof lets the others go on from theirs, begun under the same or an earlier
+// leadership. One that was wiped and begun anew since, by a leader that came to nothing, is not the one that
+// was meant.
+bool same_copy(const Evidence& e) {
+    return e.copy && e.copy->begun != 0 && e.copy->begun == named(e)->begun;
 }
-bool same_leadership(const Evidence& e) {
-    return e.copy && e.copy->version == e.record->version;
+// A leader tells nothing before its record is stored, so a copy is never newer than the record, but for what
+// a version before told.
+bool not_newer(const Evidence& e) {
+    return e.copy->version <= e.record->version;
 }
 bool history_known(const Evidence& e) {
     auto& l = e.chain.links;
@@ -31,10 +43,11 @@
            std::all_of(e.since.begin(), e.since.end(), keeps);
 }
 
-constexpr std::array<Check, 5> all{{
+constexpr std::array<Check, 6> all{{
     {"no record is stored", stored},
     {"the record does not name this process", member},
-    {"the copy is of another leadership than the record", same_leadership},
+    {"the copy is not the one that the record means", same_copy},
+    {"the copy was told by a leader later than the record", not_newer},
     {"there may have been leaders that were not seen", history_known},
     {"a leader in between kept no record", nobody_between},
 }};
--- a/src/standby/copy.cpp
+++ b/src/standby/copy.cpp
@@ -5,9 +5,14 @@
 wire::PeerFleetAnswer Follower::take(wire::PeerFleet piece) {
     if (piece.leader_version < copy_.version ||
         (piece.leader_version == copy_.version && piece.number <= copy_.number))
-        return {false, incarnation_};
-    if (piece.leader_version > copy_.version) copy_ = {piece.leader_version, 0, {}};
+        return {false, incarnation_, copy_.begun};
+    if (piece.leader_version > copy_.version) {
+        if (piece.begun != 0 && piece.begun != copy_.begun) return {false, incarnation_, copy_.begun};
+        if (piece.begun == 0) copy_ = {0, 0, piece.leader_version, false, {}};
+        copy_.version = piece.leader_version;
+    }
     copy_.number = piece.number;
+    copy_.whole |= piece.whole;
     for (auto& row : piece.rows) {
         if (row.gone) {
             copy_.rows.erase(row.machine);
@@ -16,7 +21,7 @@
             copy_.rows.insert_or_assign(std::move(id), std::move(row));
         }
     }
-    return {true, incarnation_};
+    return {true, incarnation_, copy_.begun};
 }
 
 }  // namespace coralhitch::standby
--- a/src/standby/copy.hpp
+++ b/src/standby/copy.hpp
@@ -14,6 +14,8 @@
 struct Copy {
     std::uint64_t version = 0;  // of the leadership that told it; 0: nothing is known
     std::uint64_t number = 0;   // of the last piece taken
+    std::uint64_t begun = 0;    // the leadership that began it from nothing
+    bool whole = false;         // the leadership of `version` has told all
     std::unordered_map<std::string, wire::PeerMachineRow> rows;  // by machine
 };
 
@@ -21,7 +23,7 @@
   public:
     explicit Follower(std::uint64_t incarnation) : incarnation_(incarnation) {}
     // A piece of an earlier leadership, or one that comes after a later piece, is refused: it was held up on
-    // its way, and what it says may be over.
+    // its way, and what it says may be over. So is one that goes on from another copy than is here.
     wire::PeerFleetAnswer take(wire::PeerFleet piece);
     const Copy& copy() const { return copy_; }
 
--- a/src/standby/teller.cpp
+++ b/src/standby/teller.cpp
@@ -38,9 +38,11 @@
     return settings_.report_s * (s.whole || counts(s) ? patience_reports : begin_reports);
 }
 
-void Teller::start(std::uint64_t record_version) {
+void Teller::start(std::uint64_t record_version, const std::optional<wire::StandbyRecord>& inherited) {
     started_ = true;
     record_version_ = record_version;
+    if (inherited)
+        for (auto& m : inherited->members) carry(m);
     // Even if nobody follows: whoever is named in the record of an earlier leader would otherwise take itself
     // for one that knows all starts.
     write_record();
@@ -50,17 +52,48 @@
 void Teller::tick() {
     if (!started_) return;
     for (auto& [label, s] : standbys_) {
-        if (!s.following && timers_.now() >= s.retry_at && hooks_.follows(label)) begin(s);
+        if (!s.following && timers_.now() >= s.retry_at && can_follow(label)) begin(s);
         // One that has followed for long is not made to pay for what was before.
         if (s.whole && timers_.now() - s.joined > settings_.lease_s) s.pause = 0;
     }
     soon();
 }
 
+bool Teller::can_follow(const std::string& label) const {
+    auto* p = hooks_.peer(label);
+    return p && p->features >= wire::peer_features_follow;
+}
+// Its copy holds all that may be on the machines, as this leader's own did, and from here on it is told all
+// that changes. So it is named from the first record on: three leaders that were killed a second apart each
+// left nobody informed, since a copy from nothing takes longer.
+void Teller::carry(const wire::StandbyRecord::Member& m) {
+    auto it = standbys_.find(m.label);
+    auto* p = hooks_.peer(m.label);
+    if (it == standbys_.end() || !p || p->incarnation != m.incarnation ||
+        p->features < wire::peer_features_carry)
+        return;
+    auto& s = it->second;
+    s.following = s.whole = s.carried = s.greet = true;
+    s.incarnation = m.incarnation;
+    s.begun = m.begun;
+    s.joined = timers_.now();
+    ++s.round;
+}
+// A process that has just begun has nothing to be patient with: it can be whole again long before the one
+// before it would have been waited for.
+void Teller::started_anew(const std::string& label, std::uint64_t incarnation) {
+    auto it = standbys_.find(label);
+    if (!started_ || it == standbys_.end() || it->second.incarnation == incarnation) return;
+    auto& s = it->second;
+    leave(s, "it was started anew", false);
+    if (!s.following && can_follow(label)) begin(s);
+}
+
 // From here on it is told all that changes. What it holds of an earlier time counts for nothing.
 void Teller::begin(Standby& s) {
     s.following = true;
-    s.whole = s.busy = false;
+    s.whole = s.busy = s.carried = s.greet = false;
+    s.begun = 0;
     s.incarnation = 0;
     s.told = 0;
     s.waiting_since = -1;
@@ -71,14 +104,14 @@
         if (s.queued.insert(id).second) s.queue.emplace_back(1, id);  // none of it counts before all is told
     send(s);
 }
-void Teller::leave(Standby& s, const char* why) {
+void Teller::leave(Standby& s, const char* why, bool at_fault) {
     if (!s.following) return;
     spdlog::info("standby: {} does not follow any more: {}", s.peer.label, why);
     if (s.whole) ++dropped_;
-    s.following = s.whole = s.busy = false;
+    s.following = s.whole = s.busy = s.carried = false;
     ++s.round;
-    s.pause = std::clamp(s.pause * 2, settings_.report_s * least_pause_reports, settings_.lease_s);
-    s.retry_at = timers_.now() + s.pause;
+    if (at_fault) s.pause = std::clamp(s.pause * 2, settings_.report_s * least_pause_reports, settings_.lease_s);
+    s.retry_at = timers_.now() + (at_fault ? s.pause : 0);
     write_record();
 }
 
@@ -115,8 +148,10 @@
 // One piece at a time. Its rows are as the machines are now, so it also tells what has changed since they
 // were queued.
 void Teller::send(Standby& s) {
-    if (!s.following || s.busy || (s.queue.empty() && s.whole)) return;
-    wire::PeerFleet piece{version_, ++numbers_, {}};
+    // Not before the record is of this leadership: no copy is ever newer than the record.
+    if (!ours_ || !s.following || s.busy || (s.queue.empty() && s.whole && !s.greet)) return;
+    wire::PeerFleet piece{version_, ++numbers_, {}, s.carried ? s.begun : 0, s.whole};
+    s.greet = false;
     std::vector<std::string> ids;
     while (!s.queue.empty() && piece.rows.size() < most_rows) {
         auto id = std::move(s.queue.front().second);
@@ -142,12 +177,17 @@
     s.busy = false;
     std::optional<wire::PeerFleetAnswer> a;
     if (r && r->status == 200) a = wire::unpack_peer<wire::PeerFleetAnswer>(r->body);
-    if (a && !a->taken) return leave(s, "it knows of a later leader");
-    if (a && s.incarnation != 0 && a->incarnation != s.incarnation) return leave(s, "it was started anew");
+    if (a && s.incarnation != 0 && a->incarnation != s.incarnation)
+        return started_anew(s.peer.label, a->incarnation);
+    if (a && !a->taken)
+        return s.carried && a->begun != s.begun
+                   ? leave(s, "it has another copy than the record says", false)
+                   : leave(s, "it knows of a later leader");
     if (!a) {
         if (timers_.now() - s.waiting_since >= patience(s)) return leave(s, "it does not answer");
         // Not taken, as far as is known: told again, before all else. What has changed once more meanwhile
         // stands further back in the queue, where it would count too late for what it has to tell.
+        s.greet = s.whole;
         std::unordered_set<std::string_view> again(ids.begin(), ids.end());
         std::erase_if(s.queue, [&](auto& q) { return again.contains(q.second); });
         for (auto& id : ids) {
@@ -160,10 +200,11 @@
         return;
     }
     s.incarnation = a->incarnation;
+    s.begun = a->begun ? a->begun : version_;
     s.waiting_since = -1;
     s.told = std::max(s.told, upto);
     if (s.queue.empty() && !s.whole) {
-        s.whole = true;
+        s.whole = s.greet = true;
         s.joined = timers_.now();
         write_record();
     }
@@ -178,7 +219,7 @@
 std::vector<Teller::Member> Teller::wanted() const {
     std::vector<Member> out;
     for (auto& [label, s] : standbys_)
-        if (s.following && s.whole) out.push_back({label, s.incarnation});
+        if (s.following && s.whole) out.push_back({label, s.incarnation, s.begun});
     return out;
 }
 // One write at a time, each on the version last seen, so that one which was not answered and is executed late
@@ -205,6 +246,7 @@
                        attempted_.clear();
                        spdlog::info("standby: {} of {} follow", confirmed_.size(), standbys_.size());
                        write_record();
+                       send_all();
                        return hooks_.told();
                    }
                    if (c.executed_never()) return write_later();
@@ -229,6 +271,7 @@
                                if (r.version == version_) {
                                    ours_ = true;
                                    confirmed_ = r.members;
+                                   send_all();
                                }
                            } catch (const wire::Malformed& x) {
                                spdlog::error("standby: record: {}", x.what());
--- a/src/standby/teller.hpp
+++ b/src/standby/teller.hpp
@@ -32,7 +32,8 @@
         std::function<std::vector<std::string>()> machines;
         std::function<std::optional<wire::Txn>()>
             begin;  // under the leader's condition; none without authority
-        std::function<bool(const std::string& label)> follows;  // whether its version can, and it answers
+        // What another controller last said of itself, if that is not long ago.
+        std::function<const wire::PeerPing*(const std::string& label)> peer;
         std::function<void()> told;                             // `told` may say yes to more
     };
     Teller(loop::Timers& timers, http::Requester& http, const config::Settings& settings,
@@ -41,8 +42,12 @@
     Teller(const Teller&) = delete;
     Teller& operator=(const Teller&) = delete;
 
-    // Once, with the version of the record's key as read after the claim; 0: there is none.
-    void start(std::uint64_t record_version);
+    // Once, with the version of the record's key as read after the claim; 0: there is none. `inherited`: the
+    // record itself, if this leader's own copy was proof; whom it names goes on from the copy that it has.
+    // Called before anything changes in the picture.
+    void start(std::uint64_t record_version, const std::optional<wire::StandbyRecord>& inherited);
+    // The controller is a process that was started just now.
+    void started_anew(const std::string& label, std::uint64_t incarnation);
     void changed(const std::string& machine);
     // What has changed up to now is below this mark.
     std::uint64_t mark() const { return marks_; }
@@ -60,12 +65,17 @@
         config::Peer peer;
         bool following = false, busy = false, whole = false;  // whole: it has taken in all machines once
         std::uint64_t incarnation = 0, told = 0, round = 0;
+        std::uint64_t begun = 0;  // the leadership that began its copy from nothing
+        bool carried = false;     // by an earlier leader, whose copy it goes on from
+        bool greet = false;       // it is to be told that it has all
         std::deque<std::pair<std::uint64_t, std::string>> queue;  // by mark
         std::unordered_set<std::string> queued;
         double waiting_since = -1, retry_at = 0, pause = 0, joined = 0;
     };
     void begin(Standby& s);
-    void leave(Standby& s, const char* why);
+    bool can_follow(const std::string& label) const;
+    void carry(const wire::StandbyRecord::Member& m);
+    void leave(Standby& s, const char* why, bool at_fault = true);
     void soon();
     void send_all();
     void send(Standby& s);
--- a/src/takeover/reading.cpp
+++ b/src/takeover/reading.cpp
@@ -81,6 +81,7 @@
             list(keys::machines, &Found::machines, [this] {
                 auto wrong = standby::judge(evidence_);
                 found_.inherits = settings_.op.standby && !wrong;
+                found_.record = evidence_.record;
                 steps_.over("all is read", found_.inherits
                                                ? "what the leader before knew is taken over"
                                                : "what the leader before knew is not known, since " +
--- a/src/takeover/reading.hpp
+++ b/src/takeover/reading.hpp
@@ -35,6 +35,7 @@
 struct Found {
     bool inherits = false;             // the copy of the leader before is proof
     std::uint64_t record_version = 0;  // of the standby record's key; 0: there is none
+    std::optional<wire::StandbyRecord> record;
     state::Listed jobs, progress, machines;
 };
 
--- a/src/wire/model.hpp
+++ b/src/wire/model.hpp
@@ -141,6 +141,7 @@
     struct Member {
         std::string label;
         std::uint64_t incarnation = 0;  // of its process
+        std::uint64_t begun = 0;        // the leadership under which its copy was begun from nothing
         bool operator==(const Member&) const = default;
     };
     std::uint64_t version = 0;  // of the leader's key
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -26,7 +26,8 @@
 inline constexpr std::uint64_t peer_features_awaits = 1;  // jobs that await others
 inline constexpr std::uint64_t peer_features_relay = 2;   // takes reports that another controller heard
 inline constexpr std::uint64_t peer_features_follow = 3;  // takes what the leader tells of its machines
-inline constexpr std::uint64_t peer_features = peer_features_follow;
+inline constexpr std::uint64_t peer_features_carry = 4;   // goes on from the copy of the leader before
+inline constexpr std::uint64_t peer_features = peer_features_carry;
 
 struct PeerPing {
     std::string label;
@@ -37,7 +38,7 @@
     std::vector<std::string> workers;  // machines that lately reported to the sender, which does not lead
     std::vector<PeerCount> counts;     // of all live jobs, from a leader
     std::uint64_t features = 0;        // what its version can do: a sender that says nothing is an old one
-    std::uint64_t followed = 0;        // the last leadership that told it what its machines hold
+    std::uint64_t followed = 0;        // the last leadership that told it all that its machines hold
     MSGPACK_DEFINE(label, incarnation, leader_version, leader, state_ok, workers, counts, features, followed)
 };
 // A user's request that its controller can't decide, since it does not reach the state service.
@@ -130,13 +131,17 @@
     std::uint64_t leader_version = 0;
     std::uint64_t number = 0;  // of this piece, growing; pieces of lower numbers that come later are refused
     std::vector<PeerMachineRow> rows;
-    MSGPACK_DEFINE(leader_version, number, rows)
+    // The leadership under which the copy was begun that these rows go on from; 0: they begin one.
+    std::uint64_t begun = 0;
+    bool whole = false;  // all has been told by now, in this piece and those before
+    MSGPACK_DEFINE(leader_version, number, rows, begun, whole)
 };
 struct PeerFleetAnswer {
     bool taken = false;
     std::uint64_t incarnation =
         0;  // of the process that took it: another one knows nothing of what came before
-    MSGPACK_DEFINE(taken, incarnation)
+    std::uint64_t begun = 0;  // the leadership under which its copy was begun; 0: none, or it does not say
+    MSGPACK_DEFINE(taken, incarnation, begun)
 };
 
 template <class T>
--- a/src/wire/protocol.cpp
+++ b/src/wire/protocol.cpp
@@ -391,7 +391,7 @@
 }
 std::string stored(const StandbyRecord& r) {
     json members = json::array();
-    for (auto& m : r.members) members.push_back(json{{"label", m.label}, {"incarnation", m.incarnation}});
+    for (auto& m : r.members) members.push_back(json{{"label", m.label}, {"incarnation", m.incarnation}, {"begun", m.begun}});
     return dumped(json{{"version", r.version}, {"members", members}});
 }
 std::string stored_bits(const std::vector<bool>& bits) {
@@ -460,7 +460,9 @@
     StandbyRecord r{count(j, "version"), {}};
     for (auto& m : list(j, "members")) {
         if (!m.is_object()) bad("members", "holds something that is not a member");
-        r.members.push_back({text(m, "label"), count(m, "incarnation")});
+        // Versions before copies were carried over name only whom they told all themselves.
+        r.members.push_back({text(m, "label"), count(m, "incarnation"),
+                             m.contains("begun") ? count(m, "begun") : r.version});
     }
     return r;
 }
--- a/tests/standby_test.cpp
+++ b/tests/standby_test.cpp
@@ -52,16 +52,22 @@
 
 // Each check, left out, would let a start that was sent go unnoticed: the rule in doubt is `ran_twice`.
 TEST(Checks, ACopyIsProofOnlyIfNothingCanBeMissingFromIt) {
-    Copy copy{20, 7, {}};
-    Evidence good{
-        "me", 3,  40,   wire::StandbyRecord{20, {{"me", 3}, {"other", 4}}}, {{{10, false}, {20, true}}, 25},
-        true, {}, &copy};
+    Copy copy{20, 7, 20, true, {}};
+    Evidence good{"me",
+                  3,
+                  40,
+                  wire::StandbyRecord{20, {{"me", 3, 20}, {"other", 4, 20}}},
+                  {{{10, false}, {20, true}}, 25},
+                  true,
+                  {},
+                  &copy};
     struct Case {
         const char* name;
         std::function<void(Evidence&)> change;
         bool proof;
     };
-    Copy older{10, 7, {}};
+    Copy older{10, 7, 10, true, {}}, carried{20, 7, 10, true, {}}, later{30, 7, 20, true, {}};
+    auto goes_on_from = [](Evidence& e, std::uint64_t begun) { e.record->members[0].begun = begun; };
     const Case cases[] = {
         {"all is well", [](Evidence&) {}, true},
         {"no record: the leader may never have waited for anybody", [](Evidence& e) { e.record.reset(); },
@@ -69,15 +75,31 @@
         {"the record is of this leadership", [](Evidence& e) { e.record->version = 40; }, false},
         {"it was taken out, and starts have gone without it since",
          [](Evidence& e) {
-             e.record->members = {{"other", 4}};
+             e.record->members = {{"other", 4, 20}};
          },
          false},
         {"another process of this controller was named",
          [](Evidence& e) {
-             e.record->members = {{"me", 2}};
+             e.record->members = {{"me", 2, 20}};
          },
          false},
         {"the copy is of the leader before", [&](Evidence& e) { e.copy = &older; }, false},
+        {"it goes on from the copy of a leader before, as the record says",
+         [&](Evidence& e) {
+             e.copy = &carried;
+             goes_on_from(e, 10);
+         },
+         true},
+        {"the leader of the record sent no start, and has told nothing",
+         [&](Evidence& e) {
+             e.copy = &older;
+             goes_on_from(e, 10);
+         },
+         true},
+        {"a leader that came to nothing has wiped the copy that is meant",
+         [&](Evidence& e) { goes_on_from(e, 10); }, false},
+        {"it goes on from another copy than the record says", [&](Evidence& e) { e.copy = &carried; }, false},
+        {"a leader without a record of its own has told more", [&](Evidence& e) { e.copy = &later; }, false},
         {"nothing was taken in", [](Evidence& e) { e.copy = nullptr; }, false},
         {"what came after the last watch is not known", [](Evidence& e) { e.history = false; }, false},
         {"it was away, and saw only a later leader",
@@ -113,7 +135,7 @@
         auto wrong = judge(e);
         EXPECT_EQ(!wrong, c.proof) << wrong.value_or("");
     }
-    EXPECT_EQ(checks().size(), 5u);
+    EXPECT_EQ(checks().size(), 6u);
 }
 
 struct Bench {
@@ -130,6 +152,8 @@
     }
     Bench() {
         spdlog::set_level(spdlog::level::off);
+        ping("x", 1);
+        ping("y", 2);
         service.others = [this](const std::string& addr, const http::Request& r, double timeout,
                                 http::Result result) {
             auto& f = followers.at(addr.substr(0, 1));
@@ -161,6 +185,10 @@
     std::map<std::string, Peer> followers{{"x", {Follower(1)}}, {"y", {Follower(2)}}};
     std::map<std::string, std::uint64_t> machines{{"vm-1", 1}, {"vm-2", 1}};
     bool authority = true;
+    std::map<std::string, wire::PeerPing> pings;
+    void ping(const std::string& label, std::uint64_t incarnation) {
+        pings[label] = {label, incarnation, 0, "", true, {}, {}, wire::peer_features, 0};
+    }
     Teller teller{timers,
                   service,
                   settings,
@@ -173,7 +201,7 @@
                        return ids;
                    },
                    [this] { return authority ? std::optional(wire::Txn{}) : std::nullopt; },
-                   [](const std::string&) { return true; }, [] {}}};
+                   [this](const std::string& label) { return &pings[label]; }, [] {}}};
     std::uint64_t start(const std::string& id) {
         ++machines[id];
         teller.changed(id);
@@ -185,7 +213,7 @@
 TEST(Teller, AStartWaitsForAllThatTheRecordNames) {
     Bench b;
     b.followers.at("y").silent = true;
-    b.teller.start(0);
+    b.teller.start(0, std::nullopt);
     EXPECT_FALSE(b.teller.told(b.start("vm-1")));  // an earlier record may still stand
     b.timers.run_until(1);
     EXPECT_EQ(b.named(), std::set<std::string>{"x"});
@@ -215,7 +243,7 @@
         Bench b;
         b.followers.at("y").silent = true;
         b.service.fates = {FakeState::Fate::answered, fate};  // the first names nobody
-        b.teller.start(0);
+        b.teller.start(0, std::nullopt);
         for (double t = 0.1; t < 12; t += 0.05) {
             b.timers.run_until(t);
             if (t > 0.3) b.followers.at("x").silent = true;
@@ -230,6 +258,69 @@
     }
 }
 
+// Three leaders killed a second apart: each names those that its predecessor named, from its first record on,
+// as long as each is the process, with the copy, that was meant.
+TEST(Teller, WhomTheLeaderBeforeNamedGoesOnFromItsCopy) {
+    struct Case {
+        const char* name;
+        std::uint64_t incarnation, features, begun;  // of `x`: its process, its version, its copy
+        bool at_once, carried;
+    };
+    const Case cases[] = {
+        {"it goes on", 1, wire::peer_features, 40, true, true},
+        {"it was started anew", 3, wire::peer_features, 0, false, false},
+        {"its version wipes its copy", 1, wire::peer_features_follow, 40, false, false},
+        {"another leader has wiped its copy since", 1, wire::peer_features, 45, true, false},
+    };
+    for (auto& c : cases) {
+        SCOPED_TRACE(c.name);
+        Bench b;
+        b.ping("x", c.incarnation);
+        b.pings["x"].features = c.features;
+        auto& f = b.followers.at("x").follower = Follower(c.incarnation);
+        b.followers.at("y").silent = true;
+        if (c.begun) f.take({c.begun, 1, {row_of("vm-1"), row_of("vm-9")}, 0, true});
+        b.teller.start(0, wire::StandbyRecord{40, {{"x", 1, 40}, {"y", 7, 40}}});
+        for (double t = 0; !b.service.kv.contains(state::keys::standby); t += 0.001) b.timers.run_until(t);
+        EXPECT_EQ(b.named().contains("x"), c.at_once);
+        auto mark = b.start("vm-2");
+        for (double t = b.timers.now(); t < 0.8; t += 0.01) {
+            b.timers.run_until(t);
+            b.teller.tick();
+            if (b.teller.told(mark) && b.named().contains("x")) {
+                EXPECT_EQ(f.copy().rows.at("vm-2").session, b.machines["vm-2"]);
+                EXPECT_EQ(f.copy().begun, b.service.kv.at(state::keys::standby).first["members"][0]["begun"]);
+            }
+        }
+        EXPECT_TRUE(b.teller.told(mark));
+        EXPECT_TRUE(b.named().contains("x"));  // by a full copy, if need be
+        EXPECT_EQ(f.copy().rows.contains("vm-9"), c.carried);
+        EXPECT_TRUE(f.copy().whole);
+    }
+}
+
+// It used to be left out for half a report period, longer than the next leader lived.
+TEST(Teller, AProcessThatWasStartedAnewIsToldAtOnce) {
+    for (bool says_so : {true, false}) {
+        SCOPED_TRACE(says_so);
+        Bench b;
+        b.followers.at("y").silent = true;
+        b.teller.start(0, std::nullopt);
+        b.timers.run_until(1);
+        b.followers.at("x").follower = Follower(11);
+        b.ping("x", 11);
+        if (says_so)
+            b.teller.started_anew("x", 11);
+        else
+            b.start("vm-1");  // the answer tells
+        b.timers.run_until(1.2);
+        auto& members = b.service.kv.at(state::keys::standby).first["members"];
+        ASSERT_EQ(members.size(), 1u);
+        EXPECT_EQ(members[0]["incarnation"], 11u);
+        EXPECT_EQ(b.followers.at("x").follower.copy().rows.size(), 2u);
+    }
+}
+
 // Followers that fail, fall silent, begin anew, with hundreds of changes waiting: whatever counts as told is
 // known to all that the record names.
 TEST(Teller, WhatCountsAsToldIsKnownToAllThatAreNamed) {
@@ -239,7 +330,7 @@
         Bench b;
         std::mt19937_64 random(seed);
         for (int k = 0; k < 700; ++k) b.machines["vm-" + std::to_string(1000 + k)] = 1;
-        b.teller.start(0);
+        b.teller.start(0, std::nullopt);
         struct Start {
             std::uint64_t mark;
             std::string machine;
