Who is alive is judged in one package: suspicion first, verdicts by what they cost

Need: a zone cut for 10 s lost its machines, and nearly all that hung for 7 to 12 s were deleted. Change: package membership takes over dark zones, lost routes, deafness, silence and late boots from the leader, and adds: nothing new goes to a machine that is suspected; a zone that falls silent as a whole is waited for until its leases are out; machines that nobody waits for are given a lease, work that saves by itself longer than replicas and gangs; silences that ended lately say how long others are waited for.

--- a/src/capacity/capacity.cpp
+++ b/src/capacity/capacity.cpp
@@ -25,8 +25,14 @@
                     std::find(t.zones.begin(), t.zones.end(), in.pools[p].zone) != t.zones.end())
                     rented_type_[p] = &t;
         for (auto& m : in.machines) {
-            auto& bins = dark(m.pool) ? dark_bins_ : bins_;
+            auto& bins = dark(m.pool) || m.suspected ? dark_bins_ : bins_;
             bins.push_back({m.pool, m.booting ? pool(m.pool).total : m.free, &m});
+            // Nothing that waits is counted on one that is suspected, but no spare room is rented in its
+            // place: most speak again.
+            if (m.suspected && !dark(m.pool)) {
+                ++suspected_;
+                spare_ += free_share(bins.back());
+            }
             ++per_zone_[pool(m.pool).zone_index];
         }
     }
@@ -108,7 +114,7 @@
     }
     // Free room, in whole machines, and what it should be.
     double spare_wanted() const {
-        double used = static_cast<double>(bins_.size()) - spare_;
+        double used = static_cast<double>(bins_.size() + suspected_) - spare_;
         if (used <= 0) return 0;
         return std::max({1.0, used * settings_.op.reserve_ratio, guaranteed() - used});
     }
@@ -179,6 +185,7 @@
     const config::Settings& settings_;
     std::vector<Bin> bins_, dark_bins_;
     double spare_ = 0;
+    std::size_t suspected_ = 0;
     std::vector<int> per_zone_;
     std::vector<const wire::MachineType*> rented_type_;  // by pool; null: can't be rented
 };
--- a/src/capacity/capacity.hpp
+++ b/src/capacity/capacity.hpp
@@ -19,6 +19,7 @@
     bool draining = false;  // lately chosen to be emptied
     int tasks = 0, services = 0;
     double idle_for = 0;
+    bool suspected = false;  // not heard when it should have been; it may speak any moment
 };
 struct Need {
     const wire::Job* job = nullptr;
--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -155,15 +155,9 @@
 wire::PeerPing Controller::own_ping() {
     std::erase_if(heard_,
                   [&](auto& h) { return timers_.now() - h.second > settings_.report_s * heard_reports; });
-    wire::PeerPing p{settings_.label,
-                     incarnation_,
-                     election_.leader_version(),
-                     election_.leader(),
-                     state_ok(),
-                     {},
-                     {},
-                     wire::peer_features,
-                     followed()};
+    wire::PeerPing p{
+        settings_.label,     incarnation_, election_.leader_version(), election_.leader(), state_ok(), {}, {},
+        wire::peer_features, followed()};
     for (auto& [id, at] : heard_) {
         if (p.workers.size() >= most_named) break;
         p.workers.push_back(id);
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -36,6 +36,8 @@
               [this](const std::vector<pages::MachineStore::Record>& r) {
                   if (!stopped_) machines_stored(r);
               }}),
+      judge_({c_.settings.report_s, c_.settings.lease_s, c_.settings.op.silence_reports,
+              c_.settings.peers.size()}),
       settling_(picture_, c_.settings.report_s),
       steps_(c_.timers),
       reading_(c_.timers, c_.state, c_.settings, steps_,
@@ -111,7 +113,7 @@
         settling_.expect(id);
         if (found.inherits) inherit(id, m);
         m.deletable = r.condemned;
-        heard_from(zone_of(m));
+        judge_.heard_from(zone_of(m), now());
         // The leader before may have gone on renewing leases for a while.
         m.renewed = now() + keep_alive_;
     }
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -18,6 +18,7 @@
 #include "hearing/lent.hpp"
 #include "hearing/memory.hpp"
 #include "jobs/table.hpp"
+#include "membership/judge.hpp"
 #include "pages/machine_store.hpp"
 #include "placement/placement.hpp"
 #include "standby/teller.hpp"
@@ -117,13 +118,11 @@
     void handle_found(const wire::TaskId& task, const std::string& machine);
     void task_error(jobs::Entry& e, const fleet::End& end);
     void stop_active(const std::string& id, jobs::Entry& e, double grace_s);
-    void check_machine(fleet::Machine& m, bool fence, double wait);
     void check_machines();
-    const std::map<std::string, double>& lost_routes(double wait);
-    void heard_from(std::size_t zone);
-    bool dark(std::size_t zone) const;
-    double boot_s(const fleet::Machine& m) const;
-    void note_boot(const fleet::Machine& m);
+    void check_up(fleet::Machine& m, const membership::Seen& seen, membership::Verdict verdict, bool may);
+    bool check_lease(fleet::Machine& m);
+    membership::Stake stake(const fleet::Machine& m) const;
+    double boots(const fleet::Machine& m) const;
     void condemn(fleet::Machine& m, const char* why);
     void settled_check();
     void store_machine(fleet::Machine& m);
@@ -205,8 +204,8 @@
     wire::ReportReader reader_;
     hearing::Lent lent_;
     hearing::Memory memory_;  // of machines that report here
-    std::size_t up_ = 0,
-                moved_ = 0;  // machines that are up; how many were sent elsewhere since the last tick
+    std::size_t moved_ = 0;   // machines that were sent elsewhere since the last tick
+    membership::Judge judge_;
     takeover::Settling settling_;
     takeover::Steps steps_;
     takeover::Reading reading_;
@@ -217,11 +216,7 @@
         wire::TaskId task;
     };
     std::vector<std::pair<std::string, wire::TaskId>> started_now_;  // by the plan that is applied
-    std::deque<Held> held_;                      // starts that those who follow may not have taken in yet
-    double slowest_boot_ = 4;                    // lately, in nominal boot times
-    std::map<std::string, double> lost_routes_;  // until when the machines that came by it are waited for
-    std::vector<double> zone_heard_;  // by zone: when a machine there was last heard, or known to be up
-    std::deque<double> fenced_;       // when machines were fenced for silence
+    std::deque<Held> held_;  // starts that those who follow may not have taken in yet
     loop::TimerId tick_timer_ = 0;
 };
 
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -14,27 +14,10 @@
 using wire::Kind;
 
 namespace {
-constexpr double probe_reports = 1.27;
-// Time for two direct commands to go unanswered.
-constexpr double unsettled_reports = 0.9;
 constexpr double probe_timeout_reports = 0.33, direct_timeout_reports = 0.7;
 constexpr double probe_sockets = 1.0 / 8;  // of all sockets
-// Above this share of silent machines the leader doubts itself first.
-constexpr double suspect_share = 1.0 / 3;
-// Fewer machines than this share heard lately, in a fleet of at least so many: the leader hears nobody.
-constexpr double deaf_share = 1.0 / 8;
-constexpr std::size_t deaf_fleet = 16;
-// A worker that is well lets no more time pass between two reports.
-constexpr double late_reports = 1.25;
-// How long a worker takes to turn to another controller: its timeout, a pause and a report.
-constexpr double turn_reports = 2;
 constexpr double sick_reports = 20;
-// In nominal boot times: what a machine takes at the most as a rule, and when it is given up: after half as
-// long again as the slowest lately took. Each that comes up lets an older, slower one be forgotten by so
-// much.
-constexpr double usual_boots = 2, most_boots = 8, boots_kept = 0.95, overdue_ratio = 1.5;
 constexpr std::size_t flushes_at_once = 16;
-constexpr double dark_reports = 2, dark_leases = 4;
 // Of the machines that are up: how many report to the leader itself while others hear for it; how many it
 // sends to them in a tick; and for how many leases a machine is not sent again.
 constexpr double own_share = 0.2, moved_share = 1.0 / 50, moved_leases = 4;
@@ -75,8 +58,9 @@
     if (!m || m->sequence != r->sequence || !picture_.quiet(*m)) return false;
     r->sequence = m->sequence = m->hello_sequence = o->sequence;
     m->last_heard = m->renewed = now();
+    m->suspected = false;
     m->route.clear();
-    heard_from(zone_of(*m));
+    judge_.heard_from(zone_of(*m), now());
     recall(m->id);
     reply({200, r->answer});
     return true;
@@ -118,7 +102,7 @@
 // The leader has most to do besides hearing, so others hear most machines: it sends quiet ones to them, a few
 // at a time, and none twice within some leases, in case that one can't be reached from there.
 std::optional<std::string> Leader::better_place(Machine& m) {
-    double t = now(), fleet = static_cast<double>(up_);
+    double t = now(), fleet = static_cast<double>(judge_.up());
     auto peers = static_cast<double>(std::max<std::size_t>(1, c_.settings.peers.size()));
     bool enough_here = fleet - static_cast<double>(lent_.count()) > fleet * own_share;
     if (!c_.settings.op.hearing || !enough_here || static_cast<double>(moved_) > fleet * moved_share ||
@@ -151,7 +135,8 @@
             auto* m = picture_.find(h.machine);
             if (!m || !lent_.lent_to(h.machine, q.label)) continue;
             m->last_heard = std::max(m->last_heard, now() - static_cast<double>(h.age_ms) / 1000);
-            heard_from(zone_of(*m));
+            m->suspected = false;
+            judge_.heard_from(zone_of(*m), now());
         }
     }
     flush_all();
@@ -168,7 +153,8 @@
     fleet::Heard heard;
     {
         std::lock_guard lock(mutex_);
-        if (auto* m = picture_.find(r.machine); m && m->life == Machine::Life::booting) note_boot(*m);
+        if (auto* m = picture_.find(r.machine); m && m->life == Machine::Life::booting)
+            judge_.came_up(boots(*m));
         heard = picture_.hear(r, via, now(), [this](const std::string& id) -> fleet::Spec {
             auto* e = table_.find(id);
             return e ? e->spec : nullptr;
@@ -177,7 +163,7 @@
         for (auto& [task, machine] : heard.found) handle_found(task, machine);
         if (auto* m = picture_.find(r.machine); m && heard.fresh) {
             store_machine(*m);
-            heard_from(zone_of(*m));
+            judge_.heard_from(zone_of(*m), now());
             if (m->notice_until >= 0) heed_notice(*m);
         }
     }
@@ -448,155 +434,98 @@
                         }));
 }
 
-void Leader::heard_from(std::size_t zone) {
-    if (zone_heard_.size() <= zone) zone_heard_.resize(zone + 1, -1);
-    zone_heard_[zone] = now();
-}
-// Nothing is heard from a zone where machines were up: it is cut off, rather than its machines all dead. For
-// a bounded time, since a zone of few machines may really lose them all.
-bool Leader::dark(std::size_t zone) const {
-    if (zone >= zone_heard_.size() || zone_heard_[zone] < 0) return false;
-    double silent = now() - zone_heard_[zone];
-    return silent > c_.settings.report_s * dark_reports && silent < c_.settings.lease_s * dark_leases;
-}
-
-double Leader::boot_s(const Machine& m) const {
+// How long ago it was rented, in nominal boot times of its type; 0: not known.
+double Leader::boots(const Machine& m) const {
     for (auto& type : c_.types)
-        if (type.name == m.type) return type.boot_s;
+        if (type.name == m.type && type.boot_s > 0) return (now() - m.created) / type.boot_s;
     return 0;
 }
-// At times new machines come up several times as late. Given up after the usual time each of them was deleted
-// a moment before it would have come, and another rented that was no faster: 300 machines stood for 500
-// needed. A new leader knows nothing of that yet, so it begins patiently.
-void Leader::note_boot(const Machine& m) {
-    double boot = boot_s(m);
-    if (boot <= 0) return;
-    double took = (now() - m.created) / boot;
-    slowest_boot_ = std::clamp(std::max(took, slowest_boot_ * boots_kept), usual_boots, most_boots);
-}
 
-// When a controller that hears machines ends or is cut off from them, or the leader is from those that report
-// to itself, they turn to another within some seconds. Fewer than a third of the fleet, they used to be
-// fenced before: 390 machines that were well, replicas on them, when a leader lost its workers while the
-// others went on hearing for it. So a machine is overdue only if others are heard the way it came.
-const std::map<std::string, double>& Leader::lost_routes(double wait) {
-    const auto& s = c_.settings;
-    double t = now();
-    std::map<std::string, double> latest;
-    for (auto& [id, m] : picture_.machines()) {
-        if (m.life != Machine::Life::up || !m.settled) continue;
-        auto& l = latest[m.route];
-        l = std::max(l, m.last_heard);
-    }
-    std::erase_if(lost_routes_, [&](auto& l) { return l.second < t; });
-    for (auto& [id, m] : picture_.machines()) {
-        if (m.life != Machine::Life::up || !m.settled || t - m.last_heard <= wait) continue;
-        if (latest[m.route] <= m.last_heard + s.report_s * late_reports)
-            lost_routes_[m.route] = t + s.report_s * turn_reports;
-    }
-    return lost_routes_;
+// Who would wait for a machine that is dead.
+membership::Stake Leader::stake(const Machine& m) const {
+    if (m.tasks.empty()) return membership::Stake::nothing;
+    bool alone = std::all_of(m.tasks.begin(), m.tasks.end(), [](auto& t) {
+        auto& i = t.second;
+        return i.spec && i.spec->kind == Kind::array && i.running_since >= 0;
+    });
+    return alone ? membership::Stake::work : membership::Stake::awaited;
 }
 
 void Leader::check_machines() {
-    const auto& s = c_.settings;
     double t = now();
-    while (!fenced_.empty() && t - fenced_.front() > s.lease_s) fenced_.pop_front();
-    // Those fenced a moment ago count as silent still. Otherwise a leader that is cut off from the workers
-    // would delete the fleet one by one, each time seeing only a few silent machines.
-    double wait = s.report_s * s.op.silence_reports, deaf_s = std::max(wait - s.report_s, s.report_s / 2);
-    std::size_t up = fenced_.size(), heard = 0;
-    std::set<std::string> silent_ids;
-    double longest = 0;
+    std::vector<std::pair<Machine*, membership::Seen>> machines;
+    std::vector<membership::Seen> seen;
     for (auto& [id, m] : picture_.machines()) {
         if (m.life != Machine::Life::up) continue;
-        ++up;
-        double silent = settling_.silence(m, t);
-        // Counted no later than it could be fenced: a new leader that is cut off from the workers must see
-        // that first.
-        if (silent > s.report_s * (m.settled ? probe_reports : unsettled_reports)) silent_ids.insert(id);
-        heard += silent < deaf_s;
-        longest = std::max(longest, silent);
-    }
-    up_ = up - fenced_.size();
-    std::size_t late = silent_ids.size() + fenced_.size();
-    // While the first machine becomes due to be fenced, more than half of a fleet that is well reports. A
-    // leader that hears next to none of many is cut off from them, or stood still, though less than a third
-    // is late yet: it used to fence those that fell silent first, dozens of machines that were well.
-    bool deaf = longest > wait && up >= deaf_fleet &&
-                static_cast<double>(heard) < static_cast<double>(up) * deaf_share;
-    if (deaf)
-        for (auto& [id, m] : picture_.machines())
-            if (m.life == Machine::Life::up && settling_.silence(m, t) >= deaf_s) silent_ids.insert(id);
-    auto& lost = lost_routes(wait);
-    bool behind = settling_.behind(t);
-    bool fence = authority() && !behind;
-    // Nothing is placed while a machine is unsettled, and one that is well answers a direct command at once.
-    // Not so if this leader reaches none itself, and hears only what others pass on: a worker may try every
-    // other controller in vain before it comes to one that hears it.
-    bool reaches = direct_heard_ >= 0 && t - direct_heard_ < wait;
-    double unsettled_wait =
-        reaches ? std::min(wait, s.report_s * unsettled_reports)
-                : wait + s.report_s + static_cast<double>(s.peers.size()) * wire::worker_turns_s;
-    if (!behind && (deaf || static_cast<double>(late) > static_cast<double>(up) * suspect_share)) {
-        // Many silent at once: this controller may be cut off from them. Workers that get no answer turn to
-        // the other controllers, so these know: if they hear machines, one of them should lead; if they hear
-        // none after the time a worker takes to turn to them, the machines are gone.
-        auto elsewhere = c_.heard_elsewhere(silent_ids);
-        double enough =
-            deaf ? static_cast<double>(up) * deaf_share : static_cast<double>(silent_ids.size()) / 2;
-        bool others_hear = elsewhere && *elsewhere > 0 && static_cast<double>(*elsewhere) >= enough;
-        if (others_hear && longest > wait && c_.give_way()) {
+        membership::Seen s{id,           m.route,   zone_of(m), settling_.silence(m, t),
+                           m.last_heard, m.settled, m.known,    {}};
+        if (s.silent > c_.settings.report_s / 2) s.stake = stake(m);
+        machines.emplace_back(&m, s);
+        seen.push_back(s);
+    }
+    double asked_s = c_.settings.report_s * c_.settings.op.silence_reports;
+    judge_.look(seen, {settling_.behind(t), direct_heard_ >= 0 && t - direct_heard_ < asked_s}, t);
+    if (auto& doubt = judge_.doubt()) {
+        auto elsewhere = c_.heard_elsewhere(doubt->silent);
+        judge_.answered(elsewhere);
+        if (judge_.should_give_way() && c_.give_way()) {
             spdlog::info("leader: {} of {} machines are silent, {} report to another controller: giving way",
-                         silent_ids.size(), up, *elsewhere);
-            c_.election.resign(s.lease_s);
+                         doubt->silent.size(), judge_.up(), *elsewhere);
+            c_.election.resign(c_.settings.lease_s);
             return;
         }
-        wait += s.report_s * turn_reports;
-        unsettled_wait = std::max(unsettled_wait, wait);
-        fence = fence && elsewhere && *elsewhere * 2 < silent_ids.size();
     }
+    bool may = authority() && judge_.may_judge();
+    std::size_t suspected = 0;
+    for (auto& [m, s] : machines) {
+        auto verdict = judge_.judge(s, t);
+        {
+            std::lock_guard lock(mutex_);
+            m->suspected = verdict != membership::Verdict::well;
+        }
+        suspected += m->suspected;
+        check_up(*m, s, verdict, may);
+    }
+    c_.metrics.gauge("machines_suspected", static_cast<double>(suspected));
     for (auto& [id, m] : picture_.machines()) {
-        double turn = lost.contains(m.route) ? s.report_s * turn_reports : 0;
-        check_machine(m, fence, m.settled ? wait + turn : unsettled_wait);
+        if (m.life == Machine::Life::condemned) check_lease(m);
+        if (m.life != Machine::Life::booting || !may || !judge_.overdue(boots(m), zone_of(m), t)) continue;
+        std::lock_guard lock(mutex_);
+        condemn(m, "does not come up");
     }
+    settled_check();
 }
 
-void Leader::check_machine(Machine& m, bool fence, double wait) {
+// Proof by time: the worker kills its tasks lease_s after it sent the last report that was answered. That
+// report was sent before its answer; an answer to a delayed report counts too. A hearer may have answered it,
+// too.
+bool Leader::check_lease(Machine& m) {
     const auto& s = c_.settings;
-    double t = now(), silent = t - m.last_heard;
-    if (m.life == Machine::Life::booting) {
-        double boot = boot_s(m);
-        // In a zone that is cut off it may be up, and is needed as soon as the cut ends.
-        if (fence && boot > 0 && t - m.created > boot * slowest_boot_ * overdue_ratio && !dark(zone_of(m))) {
-            std::lock_guard lock(mutex_);
-            condemn(m, "does not come up");
-        }
-        return;
-    }
-    bool due = m.settled ? silent > s.report_s * probe_reports && t - m.last_probe > s.report_s / 2
-                         : t - m.last_probe > s.report_s / 3;
-    if (due) probe(m);
-    // Proof by time: the worker kills its tasks lease_s after it sent the last report that was answered. That
-    // report was sent before its answer; an answer to a delayed report counts too.
-    // A hearer may have answered it, too.
     double renewed = std::max(lent_.renewed(m.id, m.renewed), m.lent_until);
-    bool lease_over = t > renewed + s.lease_s * (1 + 2 * state::drift) + s.report_s / 3;
-    if (lease_over && silent > s.lease_s && (!m.tasks.empty() || !m.settled)) {
+    bool over = now() > renewed + s.lease_s * (1 + 2 * state::drift) + s.report_s / 3;
+    if (over && now() - m.last_heard > s.lease_s && (!m.tasks.empty() || !m.settled)) {
         spdlog::info("machine {}: its lease is out", m.id);
         std::lock_guard lock(mutex_);
         for (auto& e : picture_.lease_out(m)) handle_end(e);
         plan_soon();
     }
-    if (m.life != Machine::Life::up) return;
-    // One that has settled is not fenced while it is being asked: its answer may lie unread until the time
+    return over;
+}
+
+void Leader::check_up(Machine& m, const membership::Seen& seen, membership::Verdict verdict, bool may) {
+    double period = c_.settings.report_s, t = now();
+    if (m.settled ? judge_.late(seen) && t - m.last_probe > period / 2 : t - m.last_probe > period / 3)
+        probe(m);
+    bool lease_over = check_lease(m);
+    // One that has settled is not given up while it is being asked: its answer may lie unread until the time
     // for it is up. One that has not is asked again and again, without a pause; it was waited for then until
     // its lease was out, and nothing placed meanwhile.
     bool asked_now = m.settled && m.probing && !lease_over;
-    if (settling_.silence(m, t) > wait && !asked_now && (fence || (lease_over && authority()))) {
+    if (verdict == membership::Verdict::given_up && !asked_now && (may || (lease_over && authority()))) {
         std::lock_guard lock(mutex_);
-        fenced_.push_back(t);
-        condemn(m, "is silent");
-    } else if (fence && m.notice_until >= 0 && m.tasks.empty() && m.settled) {
+        judge_.gave_up(seen, t);
+        condemn(m, judge_.evidence(seen, t).c_str());
+    } else if (may && m.notice_until >= 0 && m.tasks.empty() && m.settled) {
         std::lock_guard lock(mutex_);
         condemn(m, "has notice and is empty");
     }
--- a/src/daemon/leader_plans.cpp
+++ b/src/daemon/leader_plans.cpp
@@ -161,7 +161,7 @@
     in.types = c_.types;
     in.pools = picture_.pools();
     in.zones = picture_.zones();
-    for (std::size_t z = 0; z < in.zones; ++z) in.dark.push_back(dark(z));
+    for (std::size_t z = 0; z < in.zones; ++z) in.dark.push_back(judge_.dark(z, now()));
     for (auto& [name, r] : rentals_)
         for (int k = 0; k < r.count; ++k) {
             capacity::MachineView v;
@@ -180,12 +180,14 @@
         auto* m = picture_.find(v.id);
         if (!m || m->life == Machine::Life::condemned || m->notice_until >= 0) continue;
         bool booting = m->life == Machine::Life::booting;
-        if (!booting && !v.usable) continue;
+        bool suspected = m->suspected && m->fit(p.in.now) && !m->has_unknown();
+        if (!booting && !v.usable && !suspected) continue;
         // With what the plan has just decided to start.
         capacity::MachineView c;
         c.id = v.id;
         c.pool = v.pool;
         c.booting = booting;
+        c.suspected = suspected;
         c.free = v.free;
         c.empty = m->tasks.empty() && v.tasks == 0;
         c.draining = v.draining;
--- a/src/fleet/picture.hpp
+++ b/src/fleet/picture.hpp
@@ -75,8 +75,11 @@
     bool untold = false;                         // among those that `to_tell` names
     std::set<std::string> error_jobs;
     double avoid_until = 0;
+    bool suspected = false;  // it should have been heard by now: nothing new goes there
 
-    bool usable(double now) const {
+    bool usable(double now) const { return fit(now) && !suspected; }
+    // But for a suspicion, which may end any moment.
+    bool fit(double now) const {
         return life == Life::up && settled && session > 0 && notice_until < 0 && now >= avoid_until;
     }
     wire::Room free() const;
--- /dev/null
+++ b/src/membership/silences.hpp
@@ -0,0 +1,31 @@
+// How long machines that fell silent lately stayed silent, and what that says of one that is silent now.
+//
+// A silence that ended tells its length; one that was cut short by giving the machine up tells only that it
+// was longer (Kaplan and Meier, "Nonparametric estimation from incomplete observations", 1958). Machines for
+// which nobody waits are given more time anyway, so the tail is seen.
+#pragma once
+#include <cstddef>
+#include <deque>
+
+namespace coralhitch::membership {
+
+class Silences {
+  public:
+    explicit Silences(double memory_s) : memory_s_(memory_s) {}
+    void ended(double length_s, double now) { add({now, length_s, true}); }       // the machine spoke again
+    void cut_short(double length_s, double now) { add({now, length_s, false}); }  // it was given up
+    // The chance, 0 to 1, that one which has been silent for so long speaks within so many seconds more. Low
+    // where little is known.
+    double speaks_within(double silent_s, double more_s, double now) const;
+
+  private:
+    struct Silence {
+        double at, length;
+        bool ended;
+    };
+    void add(Silence s);
+    double memory_s_;
+    std::deque<Silence> all_;
+};
+
+}  // namespace coralhitch::membership
--- a/src/standby/teller.cpp
+++ b/src/standby/teller.cpp
@@ -110,7 +110,8 @@
     if (s.whole) ++dropped_;
     s.following = s.whole = s.busy = s.carried = false;
     ++s.round;
-    if (at_fault) s.pause = std::clamp(s.pause * 2, settings_.report_s * least_pause_reports, settings_.lease_s);
+    if (at_fault)
+        s.pause = std::clamp(s.pause * 2, settings_.report_s * least_pause_reports, settings_.lease_s);
     s.retry_at = timers_.now() + (at_fault ? s.pause : 0);
     write_record();
 }
@@ -180,9 +181,8 @@
     if (a && s.incarnation != 0 && a->incarnation != s.incarnation)
         return started_anew(s.peer.label, a->incarnation);
     if (a && !a->taken)
-        return s.carried && a->begun != s.begun
-                   ? leave(s, "it has another copy than the record says", false)
-                   : leave(s, "it knows of a later leader");
+        return s.carried && a->begun != s.begun ? leave(s, "it has another copy than the record says", false)
+                                                : leave(s, "it knows of a later leader");
     if (!a) {
         if (timers_.now() - s.waiting_since >= patience(s)) return leave(s, "it does not answer");
         // Not taken, as far as is known: told again, before all else. What has changed once more meanwhile
--- a/src/standby/teller.hpp
+++ b/src/standby/teller.hpp
@@ -34,7 +34,7 @@
             begin;  // under the leader's condition; none without authority
         // What another controller last said of itself, if that is not long ago.
         std::function<const wire::PeerPing*(const std::string& label)> peer;
-        std::function<void()> told;                             // `told` may say yes to more
+        std::function<void()> told;  // `told` may say yes to more
     };
     Teller(loop::Timers& timers, http::Requester& http, const config::Settings& settings,
            state::Client& state, std::uint64_t version, Hooks hooks);
--- a/src/takeover/settling.cpp
+++ b/src/takeover/settling.cpp
@@ -31,7 +31,10 @@
     return leave(unknown_, [](const Machine& m) { return m.settled || m.known; });
 }
 bool Settling::all_heard() const {
-    return leave(unheard_, [](const Machine& m) { return m.settled || m.life != Machine::Life::up; });
+    // One of which all is known and that is waited for holds nothing else up.
+    return leave(unheard_, [](const Machine& m) {
+        return m.settled || m.life != Machine::Life::up || (m.known && m.suspected);
+    });
 }
 
 // A leader that did not even come to look in time has not come to hear either.
