Others are believed only of what they heard since; who gave way may lead if nobody does

Cause: a leader of a fleet of which a zone was cut off gave way to one that had heard the same machines before the cut.

Change: pings tell how long ago each machine was heard; only what came after it fell silent here counts. Who gave way stands back for one lease of the leader's, as all that know less do.

--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -67,7 +67,7 @@
               planner_,
               metrics_,
               types_,
-              [this](const std::set<std::string>& m) { return heard_elsewhere(m); },
+              [this](const std::map<std::string, double>& m) { return heard_elsewhere(m); },
               remembered_,
               [this] { return give_way(); },
               incarnation_,
@@ -92,12 +92,19 @@
 bool Controller::fresh(const PeerState& p) const {
     return p.heard >= 0 && timers_.now() - p.heard < settings_.report_s * peer_fresh_reports;
 }
-std::optional<std::size_t> Controller::heard_elsewhere(const std::set<std::string>& machines) const {
+// What another heard before the machine fell silent here says nothing: leaders used to give way because of a
+// cut that silenced the same machines for all of them.
+std::optional<std::size_t> Controller::heard_elsewhere(const std::map<std::string, double>& silent) const {
     std::optional<std::size_t> most;
     for (auto& [label, p] : peers_) {
         if (!fresh(p) || !p.last.state_ok) continue;
         std::size_t n = 0;
-        for (auto& id : p.last.workers) n += machines.contains(id);
+        auto& ages = p.last.ages_ms;
+        double since = timers_.now() - p.heard;
+        for (std::size_t k = 0; k < p.last.workers.size(); ++k) {
+            auto it = silent.find(p.last.workers[k]);
+            n += it != silent.end() && (k >= ages.size() || ages[k] / 1000.0 + since < it->second);
+        }
         most = std::max(most.value_or(0), n);
     }
     return most;
@@ -161,6 +168,7 @@
     for (auto& [id, at] : heard_) {
         if (p.workers.size() >= most_named) break;
         p.workers.push_back(id);
+        p.ages_ms.push_back(static_cast<std::uint32_t>((timers_.now() - at) * 1000));
     }
     return p;
 }
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -53,7 +53,7 @@
     void heard_ping(wire::PeerPing ping);
     wire::PeerPing own_ping();
     bool fresh(const PeerState& p) const;
-    std::optional<std::size_t> heard_elsewhere(const std::set<std::string>& machines) const;
+    std::optional<std::size_t> heard_elsewhere(const std::map<std::string, double>& silent) const;
     bool stands_back() const;
     std::uint64_t followed() const;
     bool give_way();
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -39,9 +39,9 @@
     Planner& planner;
     Metrics& metrics;
     const std::vector<wire::MachineType>& types;
-    // How many of these machines another controller lately heard from, at the most; nothing if no other
-    // answers and could lead.
-    std::function<std::optional<std::size_t>(const std::set<std::string>&)> heard_elsewhere;
+    // How many of these machines, silent here for so many seconds, another controller heard from since, at
+    // the most; nothing if no other answers and could lead.
+    std::function<std::optional<std::size_t>(const std::map<std::string, double>&)> heard_elsewhere;
     const wire::PeerImages& remembered;  // what the leader before told of the machines' caches
     std::function<bool()> give_way;      // whether to resign for it; noted if so
     std::uint64_t incarnation;
--- a/src/membership/judge.cpp
+++ b/src/membership/judge.cpp
@@ -93,7 +93,7 @@
     std::size_t apart = 0, up_apart = 0;  // of what no quiet zone explains
     for (auto& m : machines) {
         bool is_late = late(m);
-        if (is_late) d.silent.emplace(m.id);
+        if (is_late) d.silent.emplace(m.id, m.silent);
         if (quiet(m.zone)) continue;
         ++up_apart;
         apart += is_late;
@@ -107,7 +107,7 @@
     d.deaf = first > wait_ && fleet >= deaf_fleet && static_cast<double>(heard) < share(fleet, deaf_share);
     if (d.deaf)
         for (auto& m : machines)
-            if (m.silent >= lately_) d.silent.emplace(m.id);
+            if (m.silent >= lately_) d.silent.emplace(m.id, m.silent);
     crowded_ = d.deaf || static_cast<double>(apart + gone) > share(up_apart + gone, doubt_share);
     if (!own.behind && (d.deaf || static_cast<double>(d.silent.size() + gone) > share(fleet, doubt_share)))
         doubt_ = std::move(d);
--- a/src/membership/judge.hpp
+++ b/src/membership/judge.hpp
@@ -50,8 +50,8 @@
 
 // Why the leader may be the one that is cut off. Others are asked before anything is given up.
 struct Doubt {
-    bool deaf = false;             // it hears next to nobody
-    std::set<std::string> silent;  // machines of which others are asked
+    bool deaf = false;                     // it hears next to nobody
+    std::map<std::string, double> silent;  // machines of which others are asked, and for how long, seconds
 };
 
 enum class Verdict { well, suspected, given_up };
--- a/src/state/election.cpp
+++ b/src/state/election.cpp
@@ -84,13 +84,14 @@
 
 void Election::vacant() {
     leader_.clear();
-    if (timers_.now() < paused_until_) return retry_look();
     // One that is cut off from the workers would win as easily as one that hears them, and each leadership
     // that comes to nothing costs their leases seconds. Only for a bounded time: whom it defers to may not be
     // able to lead.
+    // That holds for one that gave way too: the one that it gave way to may have ended. Nobody led for ten
+    // seconds then, although it knew all that the other one had started.
     if (vacant_since_ < 0) vacant_since_ = timers_.now();
-    if (events_.defers && timers_.now() - vacant_since_ < ttl_ * defer_ttls && events_.defers())
-        return retry_look();
+    bool others = timers_.now() < paused_until_ || (events_.defers && events_.defers());
+    if (others && timers_.now() - vacant_since_ < ttl_ * defer_ttls) return retry_look();
     campaign();
 }
 
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -39,7 +39,9 @@
     std::vector<PeerCount> counts;     // of all live jobs, from a leader
     std::uint64_t features = 0;        // what its version can do: a sender that says nothing is an old one
     std::uint64_t followed = 0;        // the last leadership that told it all that its machines hold
-    MSGPACK_DEFINE(label, incarnation, leader_version, leader, state_ok, workers, counts, features, followed)
+    std::vector<std::uint32_t> ages_ms{};  // since each of `workers` reported; an older version says nothing
+    MSGPACK_DEFINE(label, incarnation, leader_version, leader, state_ok, workers, counts, features, followed,
+                   ages_ms)
 };
 // A user's request that its controller can't decide, since it does not reach the state service.
 struct PeerUserRequest {
