A new leader knows whom the one before suspected

Cause: it counted the silence of a cut-off zone from its own beginning, and gave the machines up 18 s after their workers had killed all on them. Change: the leader's pings say whom it has not heard and for how long; its successor adds that once its own question went unanswered. A hint: it costs time when wrong, never a rule.

--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -71,11 +71,14 @@
               remembered_,
               [this] { return give_way(); },
               incarnation_,
+              {},
               follower_.copy(),
               [this](const std::string& label) -> const wire::PeerPing* {
                   auto it = peers_.find(label);
                   return it != peers_.end() && fresh(it->second) ? &it->second.last : nullptr;
               }};
+    for (auto& [id, since] : suspected_)
+        if (!heard_.contains(id) || heard_[id] < since) c.suspected.emplace(id, timers_.now() - since);
     heard_.clear();
     leader_ = std::make_shared<Leader>(std::move(c), version, random_());
     leader_->start();
@@ -179,6 +182,11 @@
     bool anew = it->second.last.incarnation != ping.incarnation;
     auto& last = it->second.last = std::move(ping);
     it->second.heard = timers_.now();
+    if (last.leader == last.label) {
+        suspected_.clear();
+        for (std::size_t k = 0; k < std::min(last.silent.size(), last.silent_ms.size()); ++k)
+            suspected_[last.silent[k]] = timers_.now() - last.silent_ms[k] / 1000.0;
+    }
     if (anew && leader_) leader_->started_anew(last.label, last.incarnation);
     if (!counts.empty() && last.leader == last.label) {
         counted_ = timers_.now();
@@ -189,7 +197,14 @@
 }
 void Controller::ping_peers() {
     auto ping = own_ping();
-    if (leader_) ping.counts = leader_->all_counts();
+    if (leader_) {
+        ping.counts = leader_->all_counts();
+        for (auto& [id, silent] : leader_->suspected()) {
+            if (ping.silent.size() >= most_named) break;
+            ping.silent.push_back(id);
+            ping.silent_ms.push_back(static_cast<std::uint32_t>(silent * 1000));
+        }
+    }
     auto body = wire::pack_peer(ping);
     for (auto& [label, p] : peers_)
         http_.send(p.peer.addr, {"POST", std::string(wire::peer_ping_path), body, "application/msgpack"},
--- a/src/daemon/controller.hpp
+++ b/src/daemon/controller.hpp
@@ -91,6 +91,8 @@
     std::unordered_map<std::string, api::TaskCounts> counts_;  // from the leader's last ping
     double counted_ = -1;
     wire::PeerImages remembered_;  // from the leader, for when this one leads
+    // Machines that the leader suspected when it last said so, and since when.
+    std::map<std::string, double> suspected_;
     std::uint64_t pings_ = 0;
     std::map<std::string, double> heard_;  // machines that reported while another controller leads
     bool state_seen_ = false;
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -113,7 +113,9 @@
         settling_.expect(id);
         if (found.inherits) inherit(id, m);
         m.deletable = r.condemned;
-        judge_.heard_from(zone_of(m), now());
+        if (auto it = c_.suspected.find(id); it != c_.suspected.end() && m.known)
+            m.silent_before = it->second;
+        judge_.heard_from(zone_of(m), now() - m.silent_before);
         // The leader before may have gone on renewing leases for a while.
         m.renewed = now() + keep_alive_;
     }
@@ -168,6 +170,13 @@
     flush_all();
 }
 
+std::map<std::string, double> Leader::suspected() const {
+    std::map<std::string, double> out;
+    for (auto& [id, m] : picture_.machines())
+        if (m.suspected && m.life == Machine::Life::up)
+            out.emplace(id, now() - m.last_heard + m.silent_before);
+    return out;
+}
 wire::PeerImages Leader::images() const {
     wire::PeerImages out;
     out.names.resize(picture_.images().size());
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -45,7 +45,8 @@
     const wire::PeerImages& remembered;  // what the leader before told of the machines' caches
     std::function<bool()> give_way;      // whether to resign for it; noted if so
     std::uint64_t incarnation;
-    const standby::Copy& copy;  // of what the leader before knew of its machines
+    std::map<std::string, double> suspected;  // by the leader before, and for how many seconds by now
+    const standby::Copy& copy;                // of what the leader before knew of its machines
     // What another controller last said of itself, if that is not long ago.
     std::function<const wire::PeerPing*(const std::string& label)> peer;
 };
@@ -65,6 +66,8 @@
     std::optional<api::TaskCounts> counts(const std::string& id);
     std::vector<wire::PeerCount> all_counts();
     wire::PeerImages images() const;
+    // Machines that should have been heard, and how long ago they were, seconds.
+    std::map<std::string, double> suspected() const;
     void types_changed();
     void started_anew(const std::string& controller, std::uint64_t incarnation) {
         teller_.started_anew(controller, incarnation);
--- a/src/fleet/picture.cpp
+++ b/src/fleet/picture.cpp
@@ -158,6 +158,7 @@
     m.addr = r.addr;
     m.last_heard = now;
     m.suspected = false;
+    m.silent_before = 0;
     if (m.life == Machine::Life::booting) m.life = Machine::Life::up;
     if (r.notice_s) {
         if (m.notice_until < 0) m.notice_until = now + *r.notice_s;
--- a/src/fleet/picture.hpp
+++ b/src/fleet/picture.hpp
@@ -75,7 +75,8 @@
     bool untold = false;                         // among those that `to_tell` names
     std::set<std::string> error_jobs;
     double avoid_until = 0;
-    bool suspected = false;  // it should have been heard by now: nothing new goes there
+    bool suspected = false;    // it should have been heard by now: nothing new goes there
+    double silent_before = 0;  // seconds for which the leader before had not heard it; a hint
 
     bool usable(double now) const { return fit(now) && !suspected; }
     // But for a suspicion, which may end any moment.
--- a/src/membership/judge.cpp
+++ b/src/membership/judge.cpp
@@ -25,7 +25,8 @@
 // In times of what others would be made to wait for: work that nobody else waits for has as much to lose.
 constexpr double work_patience = 2.5;
 // In worker leases: for what is on a machine, and for the machine itself, where a whole zone is quiet.
-constexpr double zone_tasks_leases = 1.1, zone_leases = 2, empty_leases = 1;
+// A new leader has no proof by time so soon.
+constexpr double zone_tasks_leases = 1.1, zone_unsettled_leases = 1, zone_leases = 2, empty_leases = 1;
 // Waiting goes on where it is worth it: giving up costs so many report periods, boots and fetches included.
 constexpr double loss_reports = 4;
 constexpr double memory_leases = 8;
@@ -50,7 +51,7 @@
 
 void Judge::heard_from(std::size_t zone, double now) {
     if (zones_.size() <= zone) zones_.resize(zone + 1);
-    zones_[zone].heard = now;
+    zones_[zone].heard = std::max(zones_[zone].heard, now);
 }
 bool Judge::dark(std::size_t zone, double now) const {
     if (zone >= zones_.size() || zones_[zone].heard < 0) return false;
@@ -202,7 +203,9 @@
     if (lost_routes_.contains(m.route)) wait += turn;
     // Its tasks run on until its lease is out, and are then proven gone without a deletion.
     if (quiet(m.zone))
-        return std::max(wait, l.lease_s * (m.stake == Stake::nothing ? zone_leases : zone_tasks_leases));
+        return std::max(wait, l.lease_s * (m.stake == Stake::nothing ? zone_leases
+                                           : m.settled               ? zone_tasks_leases
+                                                                     : zone_unsettled_leases));
     if (m.stake == Stake::nothing) return std::max(wait, l.lease_s * empty_leases);
     if (m.stake == Stake::work) wait = std::max(wait, std::min(wait * work_patience, l.lease_s));
     // As long as one that has been silent for so long is likely enough to speak.
--- a/src/takeover/settling.cpp
+++ b/src/takeover/settling.cpp
@@ -10,6 +10,8 @@
 constexpr double pace_reports = 1.0 / 2, pace_share = 1.0 / 64;
 // A machine that was not even asked is given this much longer.
 constexpr double unasked_reports = 2;
+// Time for a direct command to go unanswered.
+constexpr double asked_reports = 1.0 / 2;
 constexpr double late_ticks = 3;
 // An answer is late after so many report periods; a leader is behind if most of some ten answers are.
 constexpr double late_reports = 1.0 / 8, late_most = 1.0 / 2, memory = 0.9;
@@ -72,7 +74,9 @@
     double asked = m.asked < 0 ? silent - report_s_ * unasked_reports : now - m.asked;
     if (behind(now)) return 0;
     bool goes_on = now - pace_at_ <= report_s_ * pace_reports;
-    return std::min({silent, asked, goes_on ? now - pace_at_ : asked});
+    double counted = std::min({silent, asked, goes_on ? now - pace_at_ : asked});
+    // The leader before had asked it too, in vain. It is given the time to answer this one.
+    return counted + (counted > report_s_ * asked_reports ? m.silent_before : 0);
 }
 
 }  // namespace coralhitch::takeover
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -40,8 +40,11 @@
     std::uint64_t features = 0;        // what its version can do: a sender that says nothing is an old one
     std::uint64_t followed = 0;        // the last leadership that told it all that its machines hold
     std::vector<std::uint32_t> ages_ms{};  // since each of `workers` reported; an older version says nothing
+    // From a leader: machines that it has not heard when it should have, and for how long.
+    std::vector<std::string> silent{};
+    std::vector<std::uint32_t> silent_ms{};
     MSGPACK_DEFINE(label, incarnation, leader_version, leader, state_ok, workers, counts, features, followed,
-                   ages_ms)
+                   ages_ms, silent, silent_ms)
 };
 // A user's request that its controller can't decide, since it does not reach the state service.
 struct PeerUserRequest {
@@ -141,7 +144,7 @@
 struct PeerFleetAnswer {
     bool taken = false;
     std::uint64_t incarnation =
-        0;  // of the process that took it: another one knows nothing of what came before
+        0;                    // of the process that took it: another one knows nothing of what came before
     std::uint64_t begun = 0;  // the leadership under which its copy was begun; 0: none, or it does not say
     MSGPACK_DEFINE(taken, incarnation, begun)
 };
