--- a/src/daemon/controller.cpp
+++ b/src/daemon/controller.cpp
@@ -12,6 +12,7 @@
 constexpr double ping_reports = 1.0 / 2;
 constexpr double state_check_reports = 1.0 / 3;
 constexpr double peer_fresh_reports = 1.5;
+constexpr double relay_reports = 1.0 / 10;  // what a hearer heard is known here so much later
 constexpr double heard_reports = 1.5;
 constexpr std::size_t most_named = 1000;  // a sample does in a larger fleet
 constexpr double counts_reports = 1.0 / 10;
@@ -103,10 +104,10 @@
         if (!fresh(p) || !p.last.state_ok) continue;
         std::size_t n = 0;
         auto& ages = p.last.ages_ms;
-        double since = timers_.now() - p.heard;
+        double since = timers_.now() - p.heard, slack = settings_.report_s * relay_reports;
         for (std::size_t k = 0; k < p.last.workers.size(); ++k) {
             auto it = silent.find(p.last.workers[k]);
-            n += it != silent.end() && (k >= ages.size() || ages[k] / 1000.0 + since < it->second);
+            n += it != silent.end() && (k >= ages.size() || ages[k] / 1000.0 + since + slack < it->second);
         }
         most = std::max(most.value_or(0), n);
     }
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -173,7 +173,8 @@
 std::map<std::string, double> Leader::suspected() const {
     std::map<std::string, double> out;
     for (auto& [id, m] : picture_.machines())
-        if (m.suspected && m.life == Machine::Life::up)
+        if (m.life == Machine::Life::up &&
+            (m.suspected || (!m.settled && now() - m.last_heard > c_.settings.report_s / 2)))
             out.emplace(id, now() - m.last_heard + m.silent_before);
     return out;
 }
--- a/src/membership/judge.cpp
+++ b/src/membership/judge.cpp
@@ -25,8 +25,8 @@
 // In times of what others would be made to wait for: work that nobody else waits for has as much to lose.
 constexpr double work_patience = 2.5;
 // In worker leases: for what is on a machine, and for the machine itself, where a whole zone is quiet.
-// A new leader has no proof by time so soon.
-constexpr double zone_tasks_leases = 1.1, zone_unsettled_leases = 1, zone_leases = 2, empty_leases = 1;
+// A new leader has no proof by time so soon, and does not know how long the zone was quiet before.
+constexpr double zone_tasks_leases = 1.1, zone_unsettled_leases = 2.0 / 3, zone_leases = 2, empty_leases = 1;
 // Waiting goes on where it is worth it: giving up costs so many report periods, boots and fetches included.
 constexpr double loss_reports = 4;
 constexpr double memory_leases = 8;
@@ -91,13 +91,14 @@
     learn(machines, now);
 
     Doubt d;
-    std::size_t apart = 0, up_apart = 0;  // of what no quiet zone explains
+    std::size_t apart = 0, up_apart = 0, lately_apart = 0;  // of what no quiet zone explains
     for (auto& m : machines) {
         bool is_late = late(m);
         if (is_late) d.silent.emplace(m.id, m.silent);
         if (quiet(m.zone)) continue;
         ++up_apart;
         apart += is_late;
+        lately_apart += m.silent < lately_;
     }
     // Those given up a moment ago count as silent still. Otherwise a leader that is cut off from the workers
     // would delete the fleet one by one, each time seeing only a few silent machines.
@@ -109,9 +110,14 @@
     if (d.deaf)
         for (auto& m : machines)
             if (m.silent >= lately_) d.silent.emplace(m.id, m.silent);
-    crowded_ = d.deaf || static_cast<double>(apart + gone) > share(up_apart + gone, doubt_share);
-    if (!own.behind && (d.deaf || static_cast<double>(d.silent.size() + gone) > share(fleet, doubt_share)))
-        doubt_ = std::move(d);
+    // That a third is silent shows in what is missing before a third is late: the first that became due used
+    // to be deleted, a tenth of the fleet, before their leader began to doubt.
+    bool missing =
+        first > wait_ && up_apart >= deaf_fleet &&
+        static_cast<double>(lately_apart) < share(up_apart, lately_ / limits_.report_s * (1 - doubt_share));
+    crowded_ = d.deaf || missing || static_cast<double>(apart + gone) > share(up_apart + gone, doubt_share);
+    bool many = static_cast<double>(d.silent.size() + gone) > share(fleet, doubt_share);
+    if (!own.behind && (d.deaf || missing || many)) doubt_ = std::move(d);
 }
 
 // Next to nothing is heard of a zone, while others are heard as usual: it was cut off. Its machines go on
