What may be of any team counts against each; random plays of failures from seeds

Change: fleet::team_used counts what is left of such a machine against each team. coralhitch_plays draws faults of every kind from a seed, ends and returns within a tenth of a second among them, shrinks what fails and prints it; 240 seeds in the tests. The stand-in gave answers for an ended process to the one in its place, which then acted for it: mended.

--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -15,6 +15,7 @@
 #include "daemon/metrics.hpp"
 #include "daemon/planner.hpp"
 #include "fleet/picture.hpp"
+#include "fleet/usage.hpp"
 #include "hearing/lent.hpp"
 #include "hearing/memory.hpp"
 #include "jobs/table.hpp"
@@ -175,7 +176,6 @@
     void ask_rental(const std::string& name);
     std::size_t zone_of(const fleet::Machine& m) const;
     placement::ZoneCounts zones_of(const jobs::Entry& e) const;
-    std::map<std::string, wire::Room> team_used();
 
     Context c_;
     std::uint64_t version_;
--- a/src/daemon/leader_plans.cpp
+++ b/src/daemon/leader_plans.cpp
@@ -88,19 +88,6 @@
     for (auto& [task, a] : e.active) ++zones[a.zone];
     return zones;
 }
-std::map<std::string, wire::Room> Leader::team_used() {
-    std::map<std::string, wire::Room> used;
-    std::unordered_map<const wire::Job*, wire::Room*> team;  // a job's team, without its name for each task
-    for (auto& [id, m] : picture_.machines())
-        for (auto& [task, i] : m.tasks) {
-            if (!i.spec) continue;
-            auto& sum = team[i.spec.get()];
-            if (!sum) sum = &used[i.spec->team];
-            *sum += i.spec->need;
-        }
-    return used;
-}
-
 placement::Input Leader::snapshot() {
     placement::Input in;
     in.now = now();
@@ -129,7 +116,7 @@
         job_index[e.spec.get()] = in.jobs.size();
         in.jobs.push_back(std::move(j));
     }
-    in.team_used = team_used();
+    in.team_used = fleet::team_used(picture_, c_.settings.teams);
     for (auto& [id, m] : picture_.machines()) {
         placement::MachineView v;
         v.id = id;
@@ -214,7 +201,7 @@
 void Leader::apply_starts(Plan& p) {
     auto& starts = p.out.starts;
     if (starts.empty()) return;  // most plans, and the sum walks the whole fleet
-    auto used = team_used();
+    auto used = fleet::team_used(picture_, c_.settings.teams);
     for (std::size_t k = 0; k < starts.size();) {
         auto job = starts[k].job;
         auto& id = p.in.jobs[job].spec->id;
--- a/tests/picture_test.cpp
+++ b/tests/picture_test.cpp
@@ -5,6 +5,8 @@
 
 #include <functional>
 
+#include "fleet/usage.hpp"
+
 namespace coralhitch::fleet {
 namespace {
 using wire::Cause;
@@ -278,5 +280,32 @@
     }
 }
 
+// A limit holds against tasks of a job that is over, whose team a new leader can't know.
+TEST(Usage, WhatNobodyKnowsCountsAgainstEachTeam) {
+    std::vector<wire::MachineType> types(1);
+    types[0].name = "g";
+    types[0].room = {16, 4, 64};
+    Picture p(7, types);
+    auto spec = std::make_shared<wire::Job>();
+    spec->id = "j-1";
+    spec->team = "a";
+    spec->need = {2, 1, 4};
+    std::vector<config::Team> teams(2);
+    teams[0].name = "a";
+    teams[1].name = "b";
+    auto& m = p.add("vm-1", "a:1", "g", "z", false, Machine::Life::up, 0);
+    p.inherit(m, {"j-1", 0}, spec, 1, 0);
+    auto before = team_used(p, teams);
+    EXPECT_EQ(before["a"].gpus, 1);
+    EXPECT_EQ(before["b"].gpus, 0);
+    p.inherit(m, {"j-0", 5}, nullptr, 1, 0);
+    auto after = team_used(p, teams);
+    EXPECT_EQ(after["a"].gpus, 4);
+    EXPECT_EQ(after["b"].gpus, 3);
+    EXPECT_EQ(after["b"].cpus, 14);
+    p.removed("vm-1");
+    EXPECT_EQ(team_used(p, teams)["b"].gpus, 0);
+}
+
 }  // namespace
 }  // namespace coralhitch::fleet
--- /dev/null
+++ b/tests/plays.cpp
@@ -0,0 +1,148 @@
+#include "plays.hpp"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace coralhitch::standin {
+namespace {
+constexpr double faults_from = 20, faults_until = 100, work_until = 110, play_until = 260;
+constexpr std::size_t nodes = 3, troubles = static_cast<std::size_t>(Trouble::zone) + 1;
+constexpr const char* names[] = {"controller ends",
+                                 "all controllers end",
+                                 "leader ends after some messages",
+                                 "controller stands still",
+                                 "state service refuses",
+                                 "controllers cut from each other",
+                                 "controller cut from workers",
+                                 "controller cut from all",
+                                 "state service out",
+                                 "cloud out",
+                                 "machine dies",
+                                 "machine hangs",
+                                 "zone cut off"};
+
+std::string node(std::size_t k) {
+    return "10.0.0." + std::to_string(k + 1);
+}
+std::size_t leads(const World& w, std::size_t who) {
+    return who < nodes ? who : static_cast<std::size_t>(std::max(0, w.leader()));
+}
+void happen(World& w, const Fault& f, std::size_t machines) {
+    auto k = leads(w, f.who);
+    switch (f.what) {
+        case Trouble::crash:
+            return w.crash(k, f.for_s);
+        case Trouble::crash_all:
+            for (std::size_t n = 0; n < nodes; ++n) w.crash(n, f.for_s);
+            return;
+        case Trouble::crash_after: {
+            auto left = std::make_shared<std::size_t>(f.other);
+            w.sent = [&w, left, back = f.for_s](const std::string& from, auto&, auto&) {
+                auto l = leads(w, nodes);
+                if (*left == 0 || w.leader() < 0 || from != w.addr_of(l) || --*left > 0) return;
+                w.crash(l, back);
+            };
+            return;
+        }
+        case Trouble::stand_still:
+            return w.stand_still(k, f.for_s);
+        case Trouble::refuse:
+            return w.refuse_state(k, f.for_s);
+        case Trouble::cut:
+            return w.cut(node(k), node((k + 1 + f.other % 2) % nodes), f.for_s, f.hold);
+        case Trouble::deaf:
+            return w.cut(node(k), "10.1.", f.for_s, f.hold);
+        case Trouble::alone:
+            return w.cut(node(k), "10.", f.for_s, f.hold);
+        case Trouble::state:
+            return w.state_down(f.for_s);
+        case Trouble::cloud:
+            return w.cloud_down(f.for_s);
+        case Trouble::die:
+            return w.die(f.who);
+        case Trouble::hang:
+            return w.hang(f.who, f.for_s);
+        case Trouble::zone:
+            for (std::size_t m = f.who % 2; m < std::max(machines, w.workers.size()); m += 2)
+                w.cut(w.workers[m % w.workers.size()]->addr, "10.", f.for_s, f.hold);
+            return w.cut(node(f.who % 2), "10.", f.for_s, f.hold);
+    }
+}
+}  // namespace
+
+std::string text(const Fault& f) {
+    char line[120];
+    std::snprintf(line, sizeof line, "%8.3f s  %-32s  who %zu, other %zu, for %.3f s%s", f.at,
+                  names[static_cast<std::size_t>(f.what)], f.who, f.other, f.for_s, f.hold ? ", held" : "");
+    return line;
+}
+
+void work(World& w, double until) {
+    int n = 0;
+    for (double t = 2; t < until; t += 2.5, ++n)
+        w.at(t, [&w, n] {
+            auto id = "j-" + std::to_string(100 + n);
+            if (n % 5 == 0) w.submit(id, "service", 2, 0, {{"driftwood", false}, {"scatter", true}});
+            if (n % 5 == 1) w.submit(id, "gang", 3, 6, {{"together", true}, {"crew", "tight"}});
+            if (n % 5 >= 2) w.submit(id, "batch", 6, 4, {{"crew", n % 2 ? "tight" : "free"}});
+            if (n % 7 == 3) w.at(w.now() + 6, [&w, id] { w.cancel(id); });
+        });
+    for (int k = 0; k < n; k += 5) w.at(until + 30, [&w, k] { w.cancel("j-" + std::to_string(100 + k)); });
+}
+std::vector<std::string> wrong(const World& w) {
+    auto out = w.broken;
+    if (w.starts <= 40) out.push_back("hardly anything was started");
+    for (auto& [id, told] : w.jobs) {
+        if (!told.accepted) out.push_back(id + " was not accepted");
+        if (!told.done && !told.cancelled) out.push_back(id + " has not ended");
+    }
+    return out;
+}
+
+std::vector<Fault> draw_faults(std::uint64_t seed, std::size_t machines) {
+    std::mt19937_64 random(seed);
+    auto between = [&](double a, double b) { return std::uniform_real_distribution<double>(a, b)(random); };
+    std::vector<Fault> out;
+    // Some come singly, some within a second of the one before.
+    double t = faults_from;
+    while ((t += random() % 3 ? between(0.05, 1.5) : between(3, 15)) < faults_until) {
+        Fault f;
+        f.at = t;
+        f.what = static_cast<Trouble>(random() % troubles);
+        f.who = random() % (nodes + 1);
+        f.other = 1 + random() % 12;
+        f.hold = random() % 2;
+        bool ends = f.what <= Trouble::crash_after;
+        bool long_ones = f.what == Trouble::hang || f.what == Trouble::zone;
+        f.for_s =
+            ends ? (random() % 3 ? between(0.05, 0.5) : between(2, 6)) : between(0.5, long_ones ? 30 : 12);
+        if (f.what == Trouble::die || f.what == Trouble::hang) f.who = random() % machines;
+        out.push_back(f);
+    }
+    return out;
+}
+std::vector<std::string> play(std::uint64_t seed, std::size_t machines, const std::vector<Fault>& faults) {
+    Options o;
+    o.seed = seed;
+    o.machines = machines;
+    World w(o);
+    work(w, work_until);
+    for (auto& f : faults) w.at(f.at, [&w, f, machines] { happen(w, f, machines); });
+    w.run_until(play_until);
+    return wrong(w);
+}
+std::vector<Fault> shrink(std::uint64_t seed, std::size_t machines, std::vector<Fault> faults) {
+    for (std::size_t part = std::max<std::size_t>(1, faults.size() / 2); part > 0; part /= 2)
+        for (std::size_t k = 0; k + part <= faults.size();) {
+            auto less = faults;
+            auto at = less.begin() + static_cast<std::ptrdiff_t>(k);
+            less.erase(at, at + static_cast<std::ptrdiff_t>(part));
+            if (play(seed, machines, less).empty())
+                k += part;
+            else
+                faults = std::move(less);
+        }
+    return faults;
+}
+
+}  // namespace coralhitch::standin
--- /dev/null
+++ b/tests/plays.hpp
@@ -0,0 +1,48 @@
+// Random plays of three controllers, machines and users in the stand-in's world: from a seed come faults of
+// every kind, alone and together; a play that breaks a rule is shrunk to the fewest faults that still do.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "standin.hpp"
+
+namespace coralhitch::standin {
+
+enum class Trouble {
+    crash,
+    crash_all,
+    crash_after,
+    stand_still,
+    refuse,
+    cut,
+    deaf,
+    alone,
+    state,
+    cloud,
+    die,
+    hang,
+    zone
+};
+
+struct Fault {
+    double at = 0;  // s
+    Trouble what = Trouble::crash;
+    std::size_t who = 0;  // a controller (3: who leads then), a machine, or a zone
+    std::size_t other =
+        0;              // for a cut between controllers: the other; for crash_after: after so many messages
+    double for_s = 0;   // how long it lasts, or until a controller is back
+    bool hold = false;  // packets are held, and come later
+};
+std::string text(const Fault& f);
+
+// Jobs of every kind come all the time, so that starts are on their way at any moment; all end in time.
+void work(World& w, double until);
+// What is wrong at the end: rules that were broken, jobs that were not accepted or have not ended.
+std::vector<std::string> wrong(const World& w);
+
+std::vector<Fault> draw_faults(std::uint64_t seed, std::size_t machines);
+std::vector<std::string> play(std::uint64_t seed, std::size_t machines, const std::vector<Fault>& faults);
+// The fewest of these faults with which something is still wrong.
+std::vector<Fault> shrink(std::uint64_t seed, std::size_t machines, std::vector<Fault> faults);
+
+}  // namespace coralhitch::standin
--- /dev/null
+++ b/tests/plays_test.cpp
@@ -0,0 +1,35 @@
+#include "plays.hpp"
+
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+namespace coralhitch::standin {
+namespace {
+
+// In parts, so that they can be played side by side. `coralhitch_plays` plays more by hand.
+class Plays : public testing::TestWithParam<std::uint64_t> {};
+INSTANTIATE_TEST_SUITE_P(Seeds, Plays, testing::Range<std::uint64_t>(0, 16));
+TEST_P(Plays, KeepTheRulesWhateverFails) {
+    spdlog::set_level(spdlog::level::off);
+    constexpr std::uint64_t each = 15;
+    for (auto seed = 1 + GetParam() * each; seed <= (1 + GetParam()) * each; ++seed) {
+        auto faults = draw_faults(seed, 12);
+        for (auto& b : play(seed, 12, faults)) ADD_FAILURE() << "seed " << seed << ": " << b;
+    }
+}
+
+// The checker sees what is wrong, and a failing play shrinks to what it needs.
+TEST(Shrinking, KeepsWhatThePlayNeeds) {
+    spdlog::set_level(spdlog::level::off);
+    std::vector<Fault> faults;
+    for (int k = 0; k < 6; ++k) faults.push_back({20.0 + 10 * k, Trouble::crash, 3, 1, 0.2, false});
+    // The state service never comes back: nothing ends.
+    faults.push_back({60, Trouble::state, 0, 1, 1000, false});
+    EXPECT_FALSE(play(1, 8, faults).empty());
+    auto least = shrink(1, 8, faults);
+    ASSERT_EQ(least.size(), 1u);
+    EXPECT_EQ(least[0].what, Trouble::state);
+}
+
+}  // namespace
+}  // namespace coralhitch::standin
--- a/tests/standby_test.cpp
+++ b/tests/standby_test.cpp
@@ -6,9 +6,9 @@
 
 #include "fake_state.hpp"
 #include "fleet/picture.hpp"
+#include "plays.hpp"
 #include "standby/checks.hpp"
 #include "standby/teller.hpp"
-#include "standin.hpp"
 #include "state/keys.hpp"
 #include "takeover/settling.hpp"
 
@@ -457,26 +457,8 @@
     return r.target == wire::paths::commands && r.body.find("\"run\"") != std::string::npos;
 }
 
-// Jobs of every kind come all the time, so that starts are on their way at any moment.
-void work(World& w, double until) {
-    int n = 0;
-    for (double t = 2; t < until; t += 2.5, ++n)
-        w.at(t, [&w, n] {
-            auto id = "j-" + std::to_string(100 + n);
-            if (n % 5 == 0) w.submit(id, "service", 2, 0, {{"driftwood", false}, {"scatter", true}});
-            if (n % 5 == 1) w.submit(id, "gang", 3, 6, {{"together", true}, {"crew", "tight"}});
-            if (n % 5 >= 2) w.submit(id, "batch", 6, 4, {{"crew", n % 2 ? "tight" : "free"}});
-            if (n % 7 == 3) w.at(w.now() + 6, [&w, id] { w.cancel(id); });
-        });
-    for (int k = 0; k < n; k += 5) w.at(until + 30, [&w, k] { w.cancel("j-" + std::to_string(100 + k)); });
-}
 void ends_well(World& w) {
-    for (auto& b : w.broken) ADD_FAILURE() << b;
-    EXPECT_GT(w.starts, 40u);
-    for (auto& [id, told] : w.jobs) {
-        EXPECT_TRUE(told.accepted) << id;
-        EXPECT_TRUE(told.done || told.cancelled) << id << " has not ended";
-    }
+    for (auto& b : wrong(w)) ADD_FAILURE() << b;
 }
 
 // Whoever leads after this one ends as soon as it does.
@@ -487,12 +469,12 @@
 
 // The leader ends right after a message of some kind is sent, for the n-th time from some moment on; its
 // successor likewise, if the case says so. Machines die or hang over it.
-struct Fault {
+struct FaultAt {
     const char* name;
     std::function<bool(const http::Request&)> message;
     std::function<void(World&, std::size_t leader)> what;
 };
-const Fault faults[] = {
+const FaultAt faults[] = {
     {"a start is told", [](auto& r) { return r.target == wire::peer_fleet_path; },
      [](World& w, std::size_t l) { w.crash(l, 5); }},
     {"a start is sent", runs, [](World& w, std::size_t l) { w.crash(l, 5); }},
@@ -540,7 +522,7 @@
      [](World& w, std::size_t l) { w.cut("10.0.0." + std::to_string(l + 1), "10.", 30, true); }},
 };
 
-void play(const Fault& f, std::uint64_t seed, std::set<std::size_t> without = {}) {
+void play_at(const FaultAt& f, std::uint64_t seed, std::set<std::size_t> without = {}) {
     SCOPED_TRACE(std::string(f.name) + ", seed " + std::to_string(seed));
     Options o;
     o.seed = seed;
@@ -571,18 +553,18 @@
 class Ends : public testing::TestWithParam<std::size_t> {
   protected:
     void SetUp() override { spdlog::set_level(spdlog::level::off); }
-    const Fault& fault() const { return faults[GetParam()]; }
+    const FaultAt& fault() const { return faults[GetParam()]; }
 };
 INSTANTIATE_TEST_SUITE_P(Standby, Ends, testing::Range<std::size_t>(0, std::size(faults)));
 TEST_P(Ends, KeepTheRules) {
     const char* more = std::getenv("CORALHITCH_SEEDS");  // by hand
     std::uint64_t seeds = more ? std::stoull(more) : 16;
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) play(fault(), seed);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) play_at(fault(), seed);
 }
 // One of the controllers, or two, are of a version that tells and follows nobody.
 TEST_P(Ends, KeepTheRulesBesideAVersionWithoutStandby) {
-    play(fault(), 51, {0});
-    play(fault(), 52, {1, 2});
+    play_at(fault(), 51, {0});
+    play_at(fault(), 52, {1, 2});
 }
 
 // Nobody followed, since all ended together: a dead machine is fenced after some seconds, not only when its
--- a/tests/standin.cpp
+++ b/tests/standin.cpp
@@ -130,6 +130,7 @@
     n.controller =
         std::make_unique<daemon::Controller>(*n.timers, *n.http, n.settings, *n.planner, random_());
     n.up = true;
+    ++n.lives;
     n.busy_until = now_;
     n.controller->start();
 }
@@ -192,17 +193,23 @@
     };
     // What has come and was not read yet is read when the time is up.
     auto come = std::make_shared<std::optional<http::Response>>();
-    for (auto& n : nodes_)
-        if (n.settings.listen == from) n.timers->after(timeout, [end, come] { end(std::move(*come)); });
+    std::uint64_t life = 0;
+    for (auto& n : nodes_) {
+        if (n.settings.listen != from) continue;
+        n.timers->after(timeout, [end, come] { end(std::move(*come)); });
+        life = n.lives;
+    }
     auto sender = from;
-    auto back = [this, end, sender, to, come](http::Response answer) {
+    // A process that is back within a fraction of a second must not hear what the one before it asked: that
+    // one would go on acting, and end the lease of the process that runs in its place.
+    auto back = [this, end, sender, to, come, life](http::Response answer) {
         bool hold = false;
         double until = 0;
         if (is_cut(host(to), host(sender), hold, until)) return;
-        at(now_ + latency(), [this, end, sender, to, come, answer = std::move(answer)] {
+        at(now_ + latency(), [this, end, sender, to, come, life, answer = std::move(answer)] {
             for (auto& n : nodes_) {
                 if (n.settings.listen != sender) continue;
-                if (!n.up) return;
+                if (!n.up || n.lives != life) return;
                 if (n.timers->still_until() > now_) {
                     n.timers->after(0, [end, answer] { end(answer); });
                     return;
--- a/tests/standin.hpp
+++ b/tests/standin.hpp
@@ -73,6 +73,7 @@
     std::unique_ptr<InlinePlanner> planner;
     std::unique_ptr<daemon::Controller> controller;
     bool up = false;
+    std::uint64_t lives = 0;  // processes so far: what is answered to one is not for the next
     double busy_until = 0;  // with what workers sent
 };
 
