--- a/bench/regress.sh
+++ b/bench/regress.sh
@@ -4,7 +4,8 @@
 #
 #   bench/regress.sh KIT [--fleet] [--full] [--accept] [--why TEXT]
 #
-# KIT is the folder with the site files. --fleet adds the two fleet sites; --full plays all days and hunts;
+# KIT is the folder with the site files. --fleet adds the two fleet sites, and own days at 1.5 times their size with
+# controllers that are back at once, on which no class or team may be served less than half; --full plays all days and hunts;
 # --accept rewrites the baseline of the sites that were played in full. Minutes of processor time; not for CI.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -40,4 +41,18 @@
 if [ -n "$full" ]; then
     for s in "${sites[@]:0:6}"; do "$bench" hunt "$s" --days 4 --why "$why" || true; done
 fi
-python3 bench/compare.py "$before" --sites "${#sites[@]}" $accept
+own=0
+if [ -n "$fleet$full" ]; then
+    scaled=$(mktemp -d)
+    trap 'rm -rf "$before" "$scaled"' EXIT
+    for s in quetzal-hipoteca majlis-muscat; do
+        python3 bench/scale_site.py "$kit/more/fleet/$s-fleet.toml" 1.5 "$scaled/$s.toml" --back 0.2 \
+            --day bench/days/back-at-once-in-turn.toml --day bench/days/back-at-once-leader.toml --day bench/days/silences.toml
+        for d in "$scaled/$s"-*.toml; do
+            "$bench" run "$scaled/$s.toml" "$d" &
+            own=$((own + 1))
+        done
+    done >"$scaled/log" 2>&1
+    wait
+fi
+python3 bench/compare.py "$before" --sites "${#sites[@]}" --own "$own" $accept
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -69,6 +69,7 @@
 }
 void Leader::stop() {
     stopped_ = true;
+    tell_tally();
     c_.timers.cancel(tick_timer_);
     for (auto& [body, reply] : early_) reply({503, "{}"});
     early_.clear();
@@ -146,6 +147,12 @@
     for (auto& [task, i] : m.tasks) row.tasks.push_back({task.job, task.index, i.attempt});
     return row;
 }
+// The lines of all leaders together tell what each team got; bench/teams.py adds them up.
+void Leader::tell_tally() {
+    last_tally_ = now();
+    std::lock_guard lock(mutex_);
+    if (auto text = tally_.tell(); !text.empty()) spdlog::info("teams: {}", text);
+}
 void Leader::tell_changes() {
     std::vector<std::string> ids;
     {
@@ -342,6 +349,7 @@
     teller_.tick();
     delete_condemned();
     drop_keys();
+    if (now() - last_tally_ > c_.settings.lease_s) tell_tally();
     if (now() - last_list_ > c_.settings.list_lag_s / 2) list_hosts();
     std::vector<std::string> names;
     for (auto& [name, r] : rentals_) names.push_back(name);
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -141,6 +141,7 @@
     // what others follow
     std::optional<wire::PeerMachineRow> row_of(const std::string& id) const;
     void tell_changes();
+    void tell_tally();
     void release_starts();
 
     // jobs
@@ -202,6 +203,8 @@
     int removing_ = 0;
     bool planning_ = false, plan_wanted_ = false, store_wanted_ = false;
     double plan_took_ = 0;
+    fleet::Tally tally_;
+    double last_tally_ = -1;
     double last_plan_ = -1, last_capacity_ = -1, last_list_ = -1, remove_retry_ = 0;
     bool listed_once_ = false;
     wire::ReportReader reader_;
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -237,11 +237,13 @@
     if (end.task.index >= spec.tasks) return;
     if (end.cause == Cause::done && spec.kind != Kind::service) {
         // The tasks of a gang complete together: if one is done, all are.
+        auto before = e->done_count;
         if (gang) {
             for (std::uint32_t i = 0; i < spec.tasks; ++i) e->mark_done(i);
         } else {
             e->mark_done(end.task.index);
         }
+        tally_.done(spec.team, e->done_count - before);
         e->failures = 0;
         e->not_before = 0;
         if (auto* m = picture_.find(end.machine)) m->error_jobs.clear();
@@ -251,6 +253,7 @@
     }
     if (end.cause == Cause::done) picture_.stored(end.task.job, {end.task.index});
     if (!ours) return;
+    if (end.started) tally_.stopped(spec.team);
     switch (end.cause) {
         case Cause::error:
             task_error(*e, end);
--- a/src/daemon/leader_plans.cpp
+++ b/src/daemon/leader_plans.cpp
@@ -231,6 +231,7 @@
         if (ok) {
             for (auto& [m, task] : placed) {
                 started_now_.emplace_back(m->id, wire::TaskId{id, task});
+                tally_.started(e->spec->team);
                 spdlog::debug("task {}/{} attempt {} goes to {}", id, task, attempt, m->id);
             }
         } else {
--- a/src/fleet/usage.cpp
+++ b/src/fleet/usage.cpp
@@ -26,4 +26,14 @@
     return used;
 }
 
+std::string Tally::tell() {
+    std::string text;
+    for (auto& [name, t] : std::exchange(teams_, {})) {
+        if (!text.empty()) text += ", ";
+        text += name + " " + std::to_string(t.started) + " started " + std::to_string(t.done) + " done " +
+                std::to_string(t.stopped) + " stopped";
+    }
+    return text;
+}
+
 }  // namespace coralhitch::fleet
--- a/src/fleet/usage.hpp
+++ b/src/fleet/usage.hpp
@@ -13,4 +13,20 @@
 // more may be of any team, so it counts against each.
 std::map<std::string, wire::Room> team_used(const Picture& picture, const std::vector<config::Team>& teams);
 
+// What became of the teams' tasks, since it was last told.
+class Tally {
+  public:
+    void started(const std::string& team) { ++teams_[team].started; }
+    void done(const std::string& team, std::size_t tasks) { teams_[team].done += tasks; }
+    void stopped(const std::string& team) { ++teams_[team].stopped; }  // for others, or lost with a machine
+    // "a 5 started 4 done 0 stopped, b ..."; nothing if nothing has happened. Begins anew.
+    std::string tell();
+
+  private:
+    struct Team {
+        std::size_t started = 0, done = 0, stopped = 0;
+    };
+    std::map<std::string, Team> teams_;
+};
+
 }  // namespace coralhitch::fleet
--- a/src/standby/teller.cpp
+++ b/src/standby/teller.cpp
@@ -19,7 +19,9 @@
 constexpr double begin_reports = 2;  // and how long one may take that is only beginning: nothing waits for it
 constexpr double least_pause_reports = 1.0 / 2;
 constexpr double write_again_reports = 1.0 / 40;
-constexpr std::size_t most_rows = 256;  // in a piece, so that no turn of the loop gets long
+// In a piece, so that no turn of the loop gets long. A new leader is so busy that each piece of a copy takes a
+// fifth of a second: in smaller pieces nobody was whole when it was killed a second after it began.
+constexpr std::size_t most_rows = 1024;
 }  // namespace
 
 Teller::Teller(loop::Timers& timers, http::Requester& http, const config::Settings& settings,
@@ -87,6 +89,7 @@
     auto& s = it->second;
     leave(s, "it was started anew", false);
     if (!s.following && can_follow(label)) begin(s);
+    s.incarnation = incarnation;
 }
 
 // From here on it is told all that changes. What it holds of an earlier time counts for nothing.
--- a/src/takeover/settling.cpp
+++ b/src/takeover/settling.cpp
@@ -13,12 +13,16 @@
 // Time for a direct command to go unanswered.
 constexpr double asked_reports = 1.0 / 2;
 constexpr double late_ticks = 3;
+// Of the machines that an earlier leader stored: so few that have not answered don't change what room there
+// is.
+constexpr std::size_t few_share = 16;
 // An answer is late after so many report periods; a leader is behind if most of some ten answers are.
 constexpr double late_reports = 1.0 / 8, late_most = 1.0 / 2, memory = 0.9;
 }  // namespace
 
 void Settling::expect(const std::string& id) {
     unheard_.insert(id);
+    ++expected_;
     unknown_.insert(id);
 }
 bool Settling::leave(std::set<std::string>& ids, bool (*leaves)(const Machine&)) const {
@@ -33,10 +37,13 @@
     return leave(unknown_, [](const Machine& m) { return m.settled || m.known; });
 }
 bool Settling::all_heard() const {
-    // One of which all is known and that is waited for holds nothing else up.
-    return leave(unheard_, [](const Machine& m) {
-        return m.settled || m.life != Machine::Life::up || (m.known && m.suspected);
-    });
+    // One of which all is known and that is waited for holds nothing else up, nor do a few such: dozens that
+    // had died used to keep a leader from renting and displacing for ten seconds.
+    return leave(unheard_,
+                 [](const Machine& m) {
+                     return m.settled || m.life != Machine::Life::up || (m.known && m.suspected);
+                 }) ||
+           (few_left_ && may_place());
 }
 
 // A leader that did not even come to look in time has not come to hear either.
@@ -48,6 +55,7 @@
         auto it = picture_.machines().find(id);
         left += it != picture_.machines().end() && !it->second.settled;
     }
+    few_left_ = left * few_share <= expected_;
     if (left == 0) return;
     auto step = std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(left) * pace_share));
     if (left + step <= paced_.first)
--- a/src/takeover/settling.hpp
+++ b/src/takeover/settling.hpp
@@ -37,6 +37,8 @@
     bool leave(std::set<std::string>& ids, bool (*leaves)(const fleet::Machine&)) const;
     const fleet::Picture& picture_;
     double report_s_;
+    std::size_t expected_ = 0;
+    bool few_left_ = false;  // at the last tick
     // Machines leave for good, those in front as soon as they are looked at.
     mutable std::set<std::string> unheard_, unknown_;
     std::pair<std::size_t, double> paced_{SIZE_MAX, -1};  // machines to be heard when last counted, and when
--- a/tests/standby_test.cpp
+++ b/tests/standby_test.cpp
@@ -404,6 +404,35 @@
     }
 }
 
+// A few machines of which all is known don't hold up what the others' room decides; one that is not known
+// does.
+TEST(Settling, AFewThatAreKnownHoldNothingUp) {
+    struct Case {
+        const char* name;
+        int left;
+        bool known, heard;
+    };
+    const Case cases[] = {{"a few, known", 3, true, true},
+                          {"many, known", 8, true, false},
+                          {"a few, not known", 3, false, false},
+                          {"none", 0, false, true}};
+    for (auto& c : cases) {
+        SCOPED_TRACE(c.name);
+        std::vector<wire::MachineType> types;
+        fleet::Picture p(7, types);
+        takeover::Settling settling(p, 4);
+        for (int k = 0; k < 64; ++k) {
+            auto id = "vm-" + std::to_string(100 + k);
+            auto& m = p.add(id, "a:1", "g", "z", false, fleet::Machine::Life::up, 0);
+            m.settled = k >= c.left;
+            m.known = c.known;
+            settling.expect(id);
+        }
+        settling.tick(1, 0.7);
+        EXPECT_EQ(settling.all_heard(), c.heard);
+    }
+}
+
 // What the leader before knew stays on the machine until a report under the new token shows otherwise.
 TEST(Inherited, TasksLeaveOnProofOnly) {
     struct Case {
