A held-up run of a cancelled job gets no lease more; the older of two attempts gives way

Cause 1: a `run` that was held up could arrive between a report and the answer to it. The answer fenced later ones and renewed the lease of a machine on which the cancelled task had just begun; cut off after that, it stayed beyond cancel_s. Change: Picture::renewable: what is cancelled and not shown by the last report must be fenced by a direct command, which renews nothing, once the time that the leader's knowledge leaves is over. Until then its machine's reports are refused.

Cause 2: a new leader that heard an old report before newer ones of its machine stopped the task where it runs by now, as the second to be heard. Change: attempts are numbered in the order of their starts, so the older one is the stray.

--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -296,7 +296,7 @@
         e.image = picture_.image(e.spec->image);
         spdlog::debug("job {} of class {}: {} tasks, awaits {}, cancelled {}", id, e.spec->cls, e.spec->tasks,
                       e.awaits.size(), e.cancelled);
-        if (cancelled) stop_active(id, e, 0);
+        if (cancelled) cancel_active(id, e);
         return true;
     } catch (const wire::Malformed& x) {
         spdlog::error("job {}: {}", id, x.what());
@@ -304,7 +304,7 @@
         if (auto* e = table_.find(id); e && !e->cancelled && wire::says_cancelled(value)) {
             e->version = version;
             table_.cancel(id);
-            stop_active(id, *e, 0);
+            cancel_active(id, *e);
             return true;
         }
         return false;
@@ -324,7 +324,7 @@
         if (!e || e->cancelled) return;
         table_.cancel(id);
         e->version = std::max(e->version, version);
-        stop_active(id, *e, 0);
+        cancel_active(id, *e);
     }
     flush_all();
 }
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -127,6 +127,7 @@
     void handle_found(const wire::TaskId& task, const std::string& machine);
     void task_error(jobs::Entry& e, const fleet::End& end);
     void stop_active(const std::string& id, jobs::Entry& e, double grace_s);
+    void cancel_active(const std::string& id, jobs::Entry& e);
     void check_machines();
     void check_up(fleet::Machine& m, const membership::Seen& seen, membership::Verdict verdict, bool may);
     bool check_lease(fleet::Machine& m);
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -78,6 +78,10 @@
     auto* m = picture_.find(report.machine);
     // Never a 200 that the worker would drop: a later leader's token, a machine that is deleted.
     if (stopped_ || !heard.current || !m) return {};
+    if (!picture_.renewable(*m, now())) {
+        probe(*m);
+        return {};
+    }
     // Its worker may still wait for it, but a copy that came late says nothing new of lease and route.
     if (heard.again) return {200, wire::report_answer(m->token, picture_.answer(*m, now(), may)), false};
     came_by(*m, hearer);
@@ -211,12 +215,22 @@
     auto [a, fresh] = e->active.try_emplace(task.index, jobs::Active{machine, i.attempt, zone_of(*m)});
     if (!fresh && a->second.machine != machine) {
         spdlog::error("task {} is on {} and on {}", task.str(), a->second.machine, machine);
-        i.stray = true;
-        ++e->strays;
-        picture_.stop(*m, task, 0);
-    } else if (e->cancelled || e->is_done(task.index)) {
-        picture_.stop(*m, task, 0);
+        // Attempts are numbered in the order of their starts, and one starts when the one before is proven
+        // gone: what shows the older one came late, if it is of another session or machine by now. The newer
+        // one used to be stopped if it was heard second.
+        auto* older = m;
+        if (i.attempt > a->second.attempt) {
+            older = picture_.find(a->second.machine);
+            a->second = {machine, i.attempt, zone_of(*m)};
+        }
+        if (auto old = older ? older->tasks.find(task) : m->tasks.end(); older && old != older->tasks.end()) {
+            old->second.stray = true;
+            ++e->strays;
+            picture_.stop(*older, task, 0);
+        }
     }
+    if (e->cancelled) picture_.cancel(*m, task, renew_until());
+    if (e->is_done(task.index)) picture_.stop(*m, task, 0);
 }
 
 void Leader::handle_end(const fleet::End& end) {
@@ -307,6 +321,12 @@
         if (auto* m = picture_.find(a.machine)) picture_.stop(*m, {id, task}, grace_s);
 }
 
+// A cancellation that this leader did not know when it was last complete was told after that.
+void Leader::cancel_active(const std::string& id, jobs::Entry& e) {
+    for (auto& [task, a] : e.active)
+        if (auto* m = picture_.find(a.machine)) picture_.cancel(*m, {id, task}, renew_until());
+}
+
 void Leader::heed_notice(Machine& m) {
     std::vector<std::pair<wire::TaskId, double>> stops;
     for (auto& [id, i] : m.tasks)
--- a/src/fleet/picture.cpp
+++ b/src/fleet/picture.cpp
@@ -230,7 +230,7 @@
             changed = true;
         }
         auto& i = it->second;
-        i.seen = true;
+        i.seen = i.shown = true;
         i.state = t.state;
         if (i.spec && t.state != TaskState::fetching && !std::exchange(i.image_noted, true))
             used_image(m, *i.spec);
@@ -240,7 +240,8 @@
     for (auto it = m.tasks.begin(); it != m.tasks.end();) {
         auto& i = it->second;
         bool unsent = !i.seen && i.run_token == 0;
-        if (shown.contains(it->first) || (unsent && !i.stop)) {
+        i.shown = shown.contains(it->first);
+        if (i.shown || (unsent && !i.stop)) {
             ++it;
             continue;
         }
@@ -386,6 +387,17 @@
     flush_later(m);
     if (!i.seen && m.token <= i.run_token) m.token = i.run_token + 1;
 }
+void Picture::cancel(Machine& m, const wire::TaskId& task, double renew_until) {
+    if (auto it = m.tasks.find(task); it != m.tasks.end())
+        it->second.renew_until = std::min(it->second.renew_until, renew_until);
+    stop(m, task, 0);
+}
+bool Picture::renewable(const Machine& m, double now) const {
+    return std::none_of(m.tasks.begin(), m.tasks.end(), [&](auto& t) {
+        auto& i = t.second;
+        return i.stop && !i.shown && now > i.renew_until;
+    });
+}
 void Picture::stored(const std::string& job, const std::set<std::uint32_t>& tasks) {
     auto at = ended_at_.find(job);
     if (at == ended_at_.end()) return;
--- a/src/fleet/picture.hpp
+++ b/src/fleet/picture.hpp
@@ -5,6 +5,7 @@
 // free only on proof; every branch that takes an instance away names its proof.
 #pragma once
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -27,7 +28,11 @@
     Spec spec;  // null: a job nobody knows (any more); it is stopped, and its machine gets nothing new
     std::uint64_t attempt = 0;
     wire::TaskState state = wire::TaskState::fetching;
-    bool seen = false;  // a report showed it
+    bool seen = false;   // a report showed it
+    bool shown = false;  // the last report did
+    // Steady time, of a task that must be gone: until then its machine's lease may be renewed though it is
+    // not known whether a `run` has reached it.
+    double renew_until = std::numeric_limits<double>::infinity();
     bool ready = true;  // its machine is stored, so `run` may be sent
     bool told = true;   // and so may it, since those who follow this leader know of it
     bool stop = false;
@@ -145,6 +150,12 @@
 
     Instance& place(Machine& m, const wire::TaskId& task, Spec spec, std::uint64_t attempt, double now);
     void stop(Machine& m, const wire::TaskId& task, double grace_s);
+    // The same for good, at once; see `renewable`.
+    void cancel(Machine& m, const wire::TaskId& task, double renew_until);
+    // Whether an answer to the last report may renew the lease. Its answer stops what it shows; what it does
+    // not show may have started since, by a `run` that was held up, and would live for a lease more without a
+    // command. Direct commands fence that and renew nothing.
+    bool renewable(const Machine& m, double now) const;
     // What the ends of these tasks mean is stored; all tasks of the job if none are named.
     void stored(const std::string& job, const std::set<std::uint32_t>& tasks = {});
     // The deletion of the machine was answered: all on it is gone.
--- a/src/state/list_watch.cpp
+++ b/src/state/list_watch.cpp
@@ -30,9 +30,9 @@
                      if (w.status == Watched::Status::too_old) return list(r);
                      if (w.status != Watched::Status::ok) return later(r, retry_s_);
                      r.revision = std::max(r.revision, w.events.revision);
-                     if (r.wait_s <= 0) complete_at_ = std::max(complete_at_, sent);
                      later(r, r.pause_s);
                      events_.changed(w.events.events, std::min(watch_.revision, confirm_.revision));
+                     if (r.wait_s <= 0) complete_at_ = std::max(complete_at_, sent);
                  }));
 }
 
@@ -42,9 +42,9 @@
     state_.list(prefix_, Rank::write, guarded_([this, &r, sent](Listed l) {
                     if (!l.ok) return later(r, retry_s_);
                     r.revision = std::max(r.revision, l.revision);
-                    complete_at_ = std::max(complete_at_, sent);
                     later(r, r.pause_s);
                     events_.listed(l);
+                    complete_at_ = std::max(complete_at_, sent);
                 }));
 }
 
--- a/src/state/list_watch.hpp
+++ b/src/state/list_watch.hpp
@@ -36,7 +36,8 @@
     // Goes on from a list that was begun at that steady time.
     void start(std::uint64_t revision, double listed_at);
 
-    // Steady time; all that was committed before it has been told. Long past before `start`.
+    // Steady time; all that was committed before it has been told. Long past before `start`; while changes
+    // are told, still that of the answers before.
     double complete_at() const { return complete_at_; }
 
   private:
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -17,12 +17,19 @@
 void expect_unbroken(const World& w) {
     for (auto& b : w.broken) ADD_FAILURE() << b;
 }
+std::size_t on_machine(const Worker& m, const std::string& job) {
+    auto here = [&](auto& t) { return !m.dead && t.second.job == job && t.second.status != "exited"; };
+    return static_cast<std::size_t>(std::count_if(m.tasks.begin(), m.tasks.end(), here));
+}
 std::size_t on_machines(const World& w, const std::string& job) {
     std::size_t n = 0;
-    for (auto& m : w.workers)
-        for (auto& [name, t] : m->tasks) n += !m->dead && t.job == job && t.status != "exited";
+    for (auto& m : w.workers) n += on_machine(*m, job);
     return n;
 }
+// Keeps the machines, with room for one card more on each.
+void keep_machines(World& w) {
+    w.at(2, [&w] { w.submit("j-9", "service", static_cast<int>(w.workers.size()), 0, {{"cards", 3.0}}); });
+}
 
 // The state service refuses the leader alone, another controller confirms a cancellation, and the service is
 // then out for all for longer than `cancel_s`, while the workers report to the old leader. Others don't reach
@@ -104,5 +111,81 @@
     expect_unbroken(w);
 }
 
+// An old report arrives after newer ones, at a leader that has heard nothing newer of that machine: what it
+// shows has moved on since, and what runs elsewhere must go on.
+TEST(Meeting, AnOldReportStopsNothingThatRunsElsewhere) {
+    spdlog::set_level(spdlog::level::off);
+    Options o;
+    o.machines = 2;
+    o.without_standby = {0, 1, 2};  // nothing is known of the machines but what they say
+    World w(o);
+    keep_machines(w);
+    w.at(4, [&w] { w.submit("j-1", "service", 1, 0); });
+    std::map<std::string, http::Request> showed;  // the last report of each machine with the task
+    w.sent = [&](auto& from, auto&, auto& r) {
+        if (r.target == wire::paths::report && r.body.find("j-1/") != std::string::npos && w.now() < 25)
+            showed[from] = r;
+    };
+    w.run_until(25);
+    ASSERT_EQ(on_machines(w, "j-1"), 1u);
+    std::size_t first = on_machine(*w.workers[0], "j-1") ? 0 : 1;
+    // For longer than a lease, and it can't be deleted: the task goes on elsewhere, the machine in its next
+    // session.
+    w.hang(first, 30);
+    w.cloud_down(60);
+    w.run_until(70);
+    ASSERT_EQ(on_machines(w, "j-1"), 1u);
+    std::size_t second = 1 - first;
+    ASSERT_EQ(on_machine(*w.workers[first], "j-1"), 0u);
+    auto copy = showed.at(w.workers[first]->addr);
+    auto starts = w.starts;
+    w.hang(first, 8);
+    w.hang(second, 5);
+    w.crash(lead(w), 6);
+    for (double t = 70; t < 78; t += 0.2)
+        w.at(t, [&w, &copy, first] {
+            for (std::size_t n = 0; n < 3; ++n)
+                w.send(w.workers[first]->addr, w.addr_of(n), copy, 1, [](std::optional<http::Response>) {});
+        });
+    w.run_until(110);
+    EXPECT_EQ(on_machines(w, "j-1"), 1u);
+    EXPECT_EQ(w.starts, starts);
+    expect_unbroken(w);
+}
+
+// A `run` is held up on its way to a machine that hears nobody, and its job is cancelled meanwhile. It
+// arrives between a report and the answer to it, and then the machine is cut off altogether: an answer that
+// renews its lease would leave the task there for a lease more.
+TEST(Meeting, AHeldUpRunOfACancelledJobIsNotGivenALeaseMore) {
+    spdlog::set_level(spdlog::level::off);
+    Options o;
+    o.machines = 12;
+    o.hear_s = 0.05;  // so that the answer comes after the `run`
+    o.cancel_s = 34;
+    World w(o);
+    keep_machines(w);
+    w.run_until(30);
+    w.cut_one_way("10.0.", "10.1.", 13, false);
+    w.cloud_down(90);
+    std::map<std::string, http::Request> held;
+    std::string met;
+    w.sent = [&](auto& from, auto& to, auto& r) {
+        if (r.target == wire::paths::commands && r.body.find("run") != std::string::npos && w.now() < 43)
+            held.emplace(to, r);
+        if (r.target != wire::paths::report || w.now() < 43 || !met.empty() || !held.contains(from)) return;
+        met = from;
+        w.send("10.9.0.1", met, held.at(met), 1, [](std::optional<http::Response>) {});
+        w.at(w.now() + 0.4, [&w] { w.cut("10.0.", "10.1.", 60, false); });
+    };
+    w.submit("j-1", "batch", 12, 300);
+    w.at(31.5, [&w] { w.cancel("j-1"); });
+    w.run_until(45);
+    ASSERT_FALSE(met.empty());
+    EXPECT_EQ(on_machines(w, "j-1"), 1u);  // it has arrived
+    w.run_until(150);
+    EXPECT_TRUE(w.jobs["j-1"].cancelled);
+    expect_unbroken(w);
+}
+
 }  // namespace
 }  // namespace coralhitch::standin
