Tests for each meeting of two troubles; a late answer completes the leader's knowledge too

Scripted cases in the several-machines world for the eight meetings, and plays that draw two kinds of trouble that meet, each of the 400 pairs once.

Change in src: the read that completes the leader's knowledge of the jobs waits for its answer for a report period instead of the quarter that a user's question has, since nobody waits for it.

--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -18,7 +18,7 @@
 // enough that what an interruption leaves of the time for renewals is nearly all of it.
 state::ListWatch::Pace watch_pace(const config::Settings& s) {
     double confirm_s = std::min(s.report_s / 3, hearing::renewal_s(s) / 8);
-    return {s.lease_s / 2, s.report_s / 60, s.report_s / 10, confirm_s};
+    return {s.lease_s / 2, s.report_s / 60, s.report_s / 10, confirm_s, s.report_s};
 }
 // As many questions as the processor's share answers in so many report periods.
 double asked_at_once(const config::Settings& s, double reports) {
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -188,10 +188,10 @@
 }
 
 void Client::watch(const std::string& prefix, std::uint64_t since, double wait_s,
-                   std::function<void(Watched)> done) {
+                   std::function<void(Watched)> done, std::optional<double> patience_s) {
     auto wait_ms = static_cast<std::uint64_t>(wait_s * 1000);
     submit(Rank::lease, {{"GET", wire::paths::watch(prefix, since, wait_ms), {}},
-                         wait_s > 0 ? wait_s + timeout() * 2 : timeout() / 2,
+                         wait_s > 0 ? wait_s + timeout() * 2 : patience_s.value_or(timeout() / 2),
                          0,
                          0,
                          [done](std::optional<http::Response> r) {
--- a/src/state/client.hpp
+++ b/src/state/client.hpp
@@ -70,9 +70,10 @@
     void get(const std::string& key, Rank rank, std::function<void(Found)> done);
     void list(const std::string& prefix, Rank rank, std::function<void(Listed)> done);
     void txn(wire::Txn t, Rank rank, std::function<void(Committed)> done);
-    // Changes since a revision; waits for one, unless `wait_s` is 0.
+    // Changes since a revision; waits for one, unless `wait_s` is 0. For an answer at once the caller has
+    // `patience_s`, or as long as a user who asks.
     void watch(const std::string& prefix, std::uint64_t since, double wait_s,
-               std::function<void(Watched)> done);
+               std::function<void(Watched)> done, std::optional<double> patience_s = {});
     void create_lease(double ttl_s, std::function<void(LeaseAnswer)> done);
     void renew_lease(std::uint64_t id, double timeout_s, std::function<void(LeaseAnswer)> done);
     void end_lease(std::uint64_t id, std::function<void(bool)> done);
--- a/src/state/list_watch.cpp
+++ b/src/state/list_watch.cpp
@@ -11,8 +11,8 @@
       prefix_(std::move(prefix)),
       retry_s_(pace.retry_s),
       events_(std::move(events)),
-      watch_{pace.wait_s, pace.gap_s, 0},
-      confirm_{0, pace.confirm_s, 0} {}
+      watch_{pace.wait_s, pace.gap_s, 0, 0},
+      confirm_{0, pace.confirm_s, pace.patience_s, 0} {}
 
 void ListWatch::start(std::uint64_t revision, double listed_at) {
     watch_.revision = confirm_.revision = revision;
@@ -33,7 +33,8 @@
                      later(r, r.pause_s);
                      events_.changed(w.events.events, std::min(watch_.revision, confirm_.revision));
                      if (r.wait_s <= 0) complete_at_ = std::max(complete_at_, sent);
-                 }));
+                 }),
+                 r.patience_s);
 }
 
 // Taken in several requests; the first says from which revision on changes are still to be read.
--- a/src/state/list_watch.hpp
+++ b/src/state/list_watch.hpp
@@ -20,10 +20,11 @@
   public:
     // Seconds.
     struct Pace {
-        double wait_s = 0;     // a watch's
-        double gap_s = 0;      // between a watch and the next, so that changes come together
-        double retry_s = 0;    // after one that failed
-        double confirm_s = 0;  // between two reads of the changes
+        double wait_s = 0;      // a watch's
+        double gap_s = 0;       // between a watch and the next, so that changes come together
+        double retry_s = 0;     // after one that failed
+        double confirm_s = 0;   // between two reads of the changes
+        double patience_s = 0;  // for the answer to one: late is better than never
     };
     struct Events {
         // The same change may come twice, and after newer ones of its key: go by the version. None up to
@@ -43,7 +44,7 @@
   private:
     // Two readers of the same changes, each from its own revision on.
     struct Reader {
-        double wait_s = 0, pause_s = 0;
+        double wait_s = 0, pause_s = 0, patience_s = 0;
         std::uint64_t revision = 0;
     };
     void read(Reader& r);
--- a/tests/list_watch_test.cpp
+++ b/tests/list_watch_test.cpp
@@ -42,6 +42,7 @@
     const Case cases[] = {
         {"none", [](Service&) {}, 0, 1.1, false},
         {"slow: the sending counts", [](Service& s) { s.delay = 1; }, 1, 3.1, false},
+        {"slower than a user waits", [](Service& s) { s.delay = 2; }, 2, 5.1, false},
         {"refused", [](Service& s) { s.refuses = true; }, 8, 9.1, false},
         {"no answer, watches open", [](Service& s) { s.silent = true; }, 8, 9.1, false},
         {"changes are not kept for so long", [](Service& s) { s.too_old = true; }, 0, 1.2, true},
@@ -55,7 +56,7 @@
         Service service(timers);
         Client client(timers, service, settings);
         bool listed = false;
-        ListWatch w(timers, client, "job/", {12, 0.05, 0.3, 1},
+        ListWatch w(timers, client, "job/", {12, 0.05, 0.3, 1, 3},
                     {[](auto&, auto) {}, [&](auto&) { listed = true; }});
         EXPECT_LT(w.complete_at(), 0);
         w.start(5, 0);
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
 
-#include "standin.hpp"
+#include "plays.hpp"
 
 namespace coralhitch::standin {
 namespace {
@@ -187,5 +187,192 @@
     expect_unbroken(w);
 }
 
+// Each kind of transaction of the controllers, again and again without an answer and carried out after newer
+// ones, over leaders that end and are back at once.
+class LateTransactions : public testing::TestWithParam<const char*> {};
+INSTANTIATE_TEST_SUITE_P(Meeting, LateTransactions,
+                         testing::Values("leader", "standby", "mach/page/", "job/", "prog/", "final/",
+                                         "types", ""));
+TEST_P(LateTransactions, BreakNoRule) {
+    spdlog::set_level(spdlog::level::off);
+    std::string kind = GetParam();
+    World w({});
+    std::minstd_rand random(7);
+    std::size_t late = 0;
+    w.late_txn = [&](const json& txn) {
+        for (auto& c : txn["then"]) {
+            auto key = c.value("put", c.value("drop", ""));
+            // Not so many that nobody leads for long.
+            if (!key.starts_with(kind) || w.now() > 100 || random() % 3) continue;
+            ++late;
+            return std::uniform_real_distribution<double>(2, 12)(random);
+        }
+        return 0.0;
+    };
+    work(w, 110);
+    for (double t = 25; t < 100; t += 13) w.at(t, [&w] { w.crash(lead(w), 0.2); });
+    w.run_until(260);
+    EXPECT_GT(late, kind == "types" ? 0u : 2u);
+    for (auto& b : wrong(w)) ADD_FAILURE() << b;
+}
+
+// A leader ends while machines with long tasks can't be reached, or don't hear the new leader, for longer
+// than a lease, and can't be deleted: their places, quota and zone stay taken until their leases are out, and
+// everything goes on.
+class Unreachable : public testing::TestWithParam<std::tuple<bool, double>> {};
+INSTANTIATE_TEST_SUITE_P(Meeting, Unreachable,
+                         testing::Combine(testing::Bool(), testing::Values(12.0, 22.0, 40.0)));
+TEST_P(Unreachable, TasksCountUntilTheyAreProvenGone) {
+    spdlog::set_level(spdlog::level::off);
+    auto [both_ways, for_s] = GetParam();
+    Options o;
+    o.gpus_max = 6;
+    World w(o);
+    w.at(2, [&w] {
+        w.submit("j-1", "batch", 6, 200, {{"crew", "tight"}});
+        w.submit("j-2", "gang", 3, 200, {{"together", true}});
+        w.submit("j-3", "service", 4, 0, {{"scatter", true}});
+    });
+    w.run_until(30);
+    ASSERT_EQ(on_machines(w, "j-1") + on_machines(w, "j-2") + on_machines(w, "j-3"), 13u);
+    for (std::size_t m = 0; m < 3; ++m) {
+        if (both_ways)
+            w.cut("10.0.", w.workers[m]->addr, for_s, false);
+        else
+            w.cut_one_way("10.0.", w.workers[m]->addr, for_s);
+    }
+    w.cloud_down(for_s);
+    w.at(31, [&w] { w.crash(lead(w), 0.1); });
+    w.at(34, [&w] { w.crash(lead(w), 3); });
+    w.run_until(30 + for_s + 60);
+    EXPECT_EQ(on_machines(w, "j-1"), 6u);
+    EXPECT_EQ(on_machines(w, "j-2"), 3u);
+    EXPECT_EQ(on_machines(w, "j-3"), 4u);
+    w.cancel("j-3");
+    w.run_until(500);
+    EXPECT_TRUE(w.jobs["j-1"].done && w.jobs["j-2"].done);
+    expect_unbroken(w);
+}
+
+// Controllers hand over and back within moments, all end, one returns; what the first life of one sent comes
+// later.
+TEST(Meeting, HandoversThereAndBack) {
+    spdlog::set_level(spdlog::level::off);
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        Options o;
+        o.seed = seed;
+        World w(o);
+        work(w, 110);
+        for (double t = 25; t < 95; t += 24) {
+            w.at(t, [&w] {
+                auto a = lead(w);
+                w.cut(host_of(a), "10.", 4, true);  // held, and sent on when its second life leads
+                w.crash(a, 0.1);
+            });
+            w.at(t + 3.5, [&w] { w.crash(lead(w), 0.1); });
+            w.at(t + 7, [&w] { w.crash(lead(w), 0.3); });
+            w.at(t + 12, [&w] {
+                for (std::size_t n = 0; n < 3; ++n) w.crash(n, n == 1 ? 0.2 : 5);
+            });
+        }
+        w.run_until(260);
+        for (auto& b : wrong(w)) ADD_FAILURE() << "seed " << seed << ": " << b;
+    }
+}
+
+// The state service answers slowly, up to the edge of a leader's lease, while users cancel and ask, refuses
+// the leader alone in between, and is then out for all.
+TEST(Meeting, ASlowStateServiceAtTheEdgeOfALease) {
+    spdlog::set_level(spdlog::level::off);
+    for (double by : {0.6, 1.2, 1.6}) {
+        World w({});
+        work(w, 110);
+        for (double t = 25; t < 95; t += 20) {
+            w.at(t, [&w, by] { w.slow_state(15, by); });
+            w.at(t + 6, [&w] { w.refuse_state(lead(w), 4); });
+            w.at(t + 9, [&w] { w.state_down(3); });
+        }
+        w.run_until(260);
+        for (auto& b : wrong(w)) ADD_FAILURE() << by << ": " << b;
+    }
+}
+
+// A leader is cut from the state service and from the other controllers, while workers and users still reach
+// it, and jobs are cancelled through the new one: the old one says nothing older, and keeps no task too long.
+TEST(Meeting, ALeaderAloneTellsNothingOlder) {
+    spdlog::set_level(spdlog::level::off);
+    World w({});
+    w.at(2, [&w] {
+        w.submit("j-1", "batch", 6, 300);
+        w.submit("j-2", "service", 3, 0);
+        w.submit("j-3", "batch", 3, 12);
+    });
+    w.run_until(15);
+    auto old = lead(w);
+    w.no_users(old);
+    w.cut(host_of(old), "10.2.0.1", 60, true);
+    w.cut(host_of(old), "10.0.", 60, true);
+    w.at(16, [&w] { w.cancel("j-1"); });
+    w.at(16, [&w] { w.cancel("j-2"); });
+    std::size_t asked = 0, answered = 0;
+    for (double t = 18; t < 90; t += 0.7)
+        w.at(t, [&] {
+            for (auto* id : {"j-1", "j-2", "j-3"}) {
+                bool over = w.jobs[id].cancelled || w.jobs[id].done;
+                ++asked;
+                w.ask_node(old, {"GET", std::string("/api/jobs/") + id, ""}, [&, over](http::Response r) {
+                    answered += r.status == 200;
+                    auto status = r.status == 200 ? json::parse(r.body)["status"] : json();
+                    if (r.status == 404 || (over && (status == "pending" || status == "running")))
+                        ADD_FAILURE() << w.now() << " " << r.status << " " << r.body;
+                });
+            }
+            w.post_to(old, w.jobs["j-1"].spec.dump(), [&](http::Response r) {
+                bool older =
+                    r.status == 201 || (r.status == 200 && r.body.find("withdrawn") == std::string::npos);
+                if (older) ADD_FAILURE() << w.now() << " " << r.status << " " << r.body;
+            });
+        });
+    w.run_until(150);
+    EXPECT_TRUE(w.jobs["j-1"].cancelled && w.jobs["j-2"].cancelled && w.jobs["j-3"].done);
+    EXPECT_GT(answered, asked / 5);  // once it is back
+    expect_unbroken(w);
+}
+
+// Jobs of two or three tasks that end far apart, and the leader ends in between, or right when an end was
+// reported to it alone.
+class EndsFarApart : public testing::TestWithParam<std::tuple<const char*, bool>> {};
+INSTANTIATE_TEST_SUITE_P(Meeting, EndsFarApart,
+                         testing::Combine(testing::Values("batch", "gang"), testing::Bool()));
+TEST_P(EndsFarApart, AreStoredOnce) {
+    spdlog::set_level(spdlog::level::off);
+    auto [shape, at_report] = GetParam();
+    Options o;
+    o.machines = 1;
+    World w(o);
+    bool gang = std::string(shape) == "gang";
+    // One at a time finds room.
+    w.at(2, [&w, s = std::string(shape), gang] {
+        w.submit("j-1", s, gang ? 1 : 3, 8, {{"cards", 3.0}, {"driftwood", false}});
+    });
+    w.at(3, [&w] { w.submit("j-2", "service", 1, 0, {{"driftwood", false}}); });
+    std::set<std::string> crashed;
+    if (at_report)
+        w.sent = [&](auto&, auto&, auto& r) {
+            if (r.target != wire::paths::report || r.body.find("exited") == std::string::npos) return;
+            auto ended = std::to_string(w.jobs["j-1"].tasks_done.size());
+            if (!crashed.insert(ended).second) return;
+            w.at(w.now() + 0.012, [&w] { w.crash(lead(w), 0.1); });
+        };
+    else
+        for (double t = 17; t < 70; t += 4.5) w.at(t, [&w] { w.crash(lead(w), 0.1); });
+    w.run_until(170);
+    EXPECT_TRUE(w.jobs["j-1"].done);
+    EXPECT_EQ(w.jobs["j-1"].tasks_done.size(), gang ? 1u : 3u);
+    EXPECT_EQ(w.done_again, 0u);
+    EXPECT_EQ(on_machines(w, "j-2"), 1u);
+    expect_unbroken(w);
+}
+
 }  // namespace
 }  // namespace coralhitch::standin
--- a/tests/plays.cpp
+++ b/tests/plays.cpp
@@ -6,7 +6,9 @@
 namespace coralhitch::standin {
 namespace {
 constexpr double faults_from = 20, faults_until = 100, work_until = 110, play_until = 260;
-constexpr std::size_t nodes = 3, troubles = static_cast<std::size_t>(Trouble::reboot) + 1;
+constexpr std::size_t nodes = 3, troubles = static_cast<std::size_t>(Trouble::cancel_all) + 1;
+// A random play has all but those that only meetings have, so that seeds stay what they were.
+constexpr std::size_t drawn = static_cast<std::size_t>(Trouble::reboot) + 1;
 constexpr double copies_soon = 3, copies_late = 60;  // s; a worker's lease is 24
 constexpr const char* names[] = {"controller ends",
                                  "all controllers end",
@@ -24,7 +26,10 @@
                                  "answers don't reach machines",
                                  "messages come twice",
                                  "controller has workers only",
-                                 "machine is back at once"};
+                                 "machine is back at once",
+                                 "transactions are carried out late",
+                                 "state service is slow",
+                                 "live jobs are cancelled"};
 
 std::string node(std::size_t k) {
     return "10.0.0." + std::to_string(k + 1);
@@ -85,10 +90,28 @@
             return w.cut(node(k), "10.0.", f.for_s, f.hold);
         case Trouble::reboot:
             return w.reboot(f.who, f.hold);
+        case Trouble::late_txns: {
+            auto random = std::make_shared<std::minstd_rand>(f.other + f.who);
+            w.late_txn = [&w, random, until = w.now() + f.for_s](auto&) {
+                if (w.now() > until || (*random)() % 4) return 0.0;
+                return std::uniform_real_distribution<double>(2, 12)(*random);
+            };
+            return;
+        }
+        case Trouble::slow_state:
+            return w.slow_state(f.for_s,
+                                f.hold ? 1.2 : 0.4);  // s; a leader's lease is 2.4, a question waits 1.5
+        case Trouble::cancel_all:
+            for (auto& [id, told] : w.jobs)
+                if (told.accepted && !told.done && !told.cancel_asked) w.cancel(id);
+            return;
     }
 }
 }  // namespace
 
+std::string name(const Fault& f) {
+    return names[static_cast<std::size_t>(f.what)];
+}
 std::string text(const Fault& f) {
     char line[120];
     std::snprintf(line, sizeof line, "%8.3f s  %-32s  who %zu, other %zu, for %.3f s%s", f.at,
@@ -118,28 +141,70 @@
     return out;
 }
 
+namespace {
+double between(std::mt19937_64& random, double a, double b) {
+    return std::uniform_real_distribution<double>(a, b)(random);
+}
+Fault draw_fault(std::mt19937_64& random, Trouble what, double at, std::size_t machines) {
+    Fault f;
+    f.at = at;
+    f.what = what;
+    f.who = random() % (nodes + 1);
+    f.other = 1 + random() % 12;
+    f.hold = random() % 2;
+    bool ends = f.what <= Trouble::crash_after;
+    bool long_ones = f.what == Trouble::hang || f.what == Trouble::zone || f.what == Trouble::unreached ||
+                     f.what == Trouble::isolated || f.what == Trouble::late_txns;
+    f.for_s = ends ? (random() % 3 ? between(random, 0.05, 0.5) : between(random, 2, 6))
+                   : between(random, 0.5, long_ones ? 30 : 12);
+    bool of_machine = f.what == Trouble::die || f.what == Trouble::hang || f.what == Trouble::unreached ||
+                      f.what == Trouble::reboot;
+    if (of_machine) f.who = random() % machines;
+    return f;
+}
+}  // namespace
+
 std::vector<Fault> draw_faults(std::uint64_t seed, std::size_t machines) {
     std::mt19937_64 random(seed);
-    auto between = [&](double a, double b) { return std::uniform_real_distribution<double>(a, b)(random); };
     std::vector<Fault> out;
     // Some come singly, some within a second of the one before.
     double t = faults_from;
-    while ((t += random() % 3 ? between(0.05, 1.5) : between(3, 15)) < faults_until) {
-        Fault f;
-        f.at = t;
-        f.what = static_cast<Trouble>(random() % troubles);
-        f.who = random() % (nodes + 1);
-        f.other = 1 + random() % 12;
-        f.hold = random() % 2;
-        bool ends = f.what <= Trouble::crash_after;
-        bool long_ones = f.what == Trouble::hang || f.what == Trouble::zone || f.what == Trouble::unreached ||
-                         f.what == Trouble::isolated;
-        f.for_s =
-            ends ? (random() % 3 ? between(0.05, 0.5) : between(2, 6)) : between(0.5, long_ones ? 30 : 12);
-        bool of_machine = f.what == Trouble::die || f.what == Trouble::hang || f.what == Trouble::unreached ||
-                          f.what == Trouble::reboot;
-        if (of_machine) f.who = random() % machines;
-        out.push_back(f);
+    while ((t += random() % 3 ? between(random, 0.05, 1.5) : between(random, 3, 15)) < faults_until)
+        out.push_back(draw_fault(random, static_cast<Trouble>(random() % drawn), t, machines));
+    return out;
+}
+
+const std::size_t pairs = troubles * troubles;
+std::vector<Fault> draw_meeting(std::uint64_t seed, std::size_t machines) {
+    std::mt19937_64 random(seed);
+    auto first = static_cast<Trouble>(seed % troubles),
+         second = static_cast<Trouble>(seed / troubles % troubles);
+    // Ratios of what the two meet in: a leader's lease, a report period, a worker's lease, the time of a
+    // cancellation.
+    constexpr double ttl = 2.4, report = 3, lease = 24, cancel = 44, spans[] = {ttl, report, lease, cancel};
+    std::vector<Fault> out;
+    for (double t = faults_from; t < faults_until - 20; t += between(random, 15, 30)) {
+        auto a = draw_fault(random, first, t, machines), b = draw_fault(random, second, t, machines);
+        double span = spans[random() % std::size(spans)];
+        switch (random() % 3) {
+            case 0:  // back to back
+                b.at = std::min(a.until(), a.at + span) + between(random, -0.2, 0.2);
+                break;
+            case 1:  // overlapping: the first is over while the second lasts
+                a.for_s = std::max(a.for_s, span * between(random, 0.3, 1.1));
+                b.at = a.at + a.for_s * between(random, 0.3, 0.95);
+                break;
+            default:  // the second inside the first
+                a.for_s = std::max(a.for_s, span * between(random, 0.8, 1.2));
+                b.for_s = std::min(b.for_s, a.for_s / 2);
+                b.at = a.at + between(random, 0.01, 0.4) * a.for_s;
+        }
+        // A process is away for as long as its machine takes to start it.
+        for (auto* f : {&a, &b})
+            if (f->what <= Trouble::crash_after) f->for_s = std::min(f->for_s, 6.0);
+        out.push_back(a);
+        out.push_back(b);
+        t = std::max(t, std::max(a.until(), b.until()) - 10);
     }
     return out;
 }
@@ -147,6 +212,9 @@
     Options o;
     o.seed = seed;
     o.machines = machines;
+    // Users go on asking for as long as the longest trouble lasts, and then some.
+    for (auto& f : faults)
+        if (f.for_s > 30) o.submit_tries = 80;
     World w(o);
     work(w, work_until);
     w.troubles_over = 0;
--- a/tests/plays.hpp
+++ b/tests/plays.hpp
@@ -32,7 +32,10 @@
     unreached,
     copies,
     isolated,
-    reboot
+    reboot,
+    late_txns,
+    slow_state,
+    cancel_all
 };
 
 struct Fault {
@@ -43,8 +46,10 @@
         0;              // for a cut between controllers: the other; for crash_after: after so many messages
     double for_s = 0;   // how long it lasts, or until a controller is back
     bool hold = false;  // packets are held, and come later
+    double until() const { return at + for_s; }
 };
 std::string text(const Fault& f);
+std::string name(const Fault& f);  // of its kind
 
 // Jobs of every kind come all the time, so that starts are on their way at any moment; all end in time.
 void work(World& w, double until);
@@ -52,6 +57,11 @@
 std::vector<std::string> wrong(const World& w);
 
 std::vector<Fault> draw_faults(std::uint64_t seed, std::size_t machines);
+// Two kinds of trouble that meet, a few times in one play: one after the other, overlapping, or the second
+// inside the first. Seeds 0 to `pairs - 1` have each pair once; further ones have them again with other
+// times.
+extern const std::size_t pairs;
+std::vector<Fault> draw_meeting(std::uint64_t seed, std::size_t machines);
 std::vector<std::string> play(std::uint64_t seed, std::size_t machines, const std::vector<Fault>& faults);
 // The fewest of these faults with which something is still wrong.
 std::vector<Fault> shrink(std::uint64_t seed, std::size_t machines, std::vector<Fault> faults);
--- a/tests/plays_main.cpp
+++ b/tests/plays_main.cpp
@@ -1,8 +1,9 @@
-// Plays of seeds by hand: coralhitch_plays --from 1 --seeds 10000 [--size 12] [--no-shrink]
+// Plays of seeds by hand: coralhitch_plays --from 1 --seeds 10000 [--meetings] [--size 12] [--no-shrink]
 #include <spdlog/spdlog.h>
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
+#include <map>
 
 #include "plays.hpp"
 
@@ -11,16 +12,20 @@
     CLI::App app("plays random failures of controllers, machines and networks against the rules");
     std::uint64_t from = 1, seeds = 100;
     std::size_t size = 12;
-    bool whole = false;
+    bool whole = false, meetings = false;
     app.add_option("--from", from, "the first seed");
     app.add_option("--seeds", seeds, "how many");
     app.add_option("--size", size, "machines at the start")->check(CLI::Range(4, 250));
+    app.add_flag("--meetings", meetings, "two kinds of trouble that meet; says how often each pair did");
     app.add_flag("--no-shrink", whole, "print all faults of a play that fails");
     CLI11_PARSE(app, argc, argv);
     spdlog::set_level(spdlog::level::off);
     std::size_t failed = 0;
+    std::map<std::string, std::size_t> met;
     for (auto seed = from; seed < from + seeds; ++seed) {
-        auto faults = draw_faults(seed, size);
+        auto faults = meetings ? draw_meeting(seed, size) : draw_faults(seed, size);
+        for (std::size_t k = 0; meetings && k + 1 < faults.size(); k += 2)
+            ++met[name(faults[k]) + " / " + name(faults[k + 1])];
         auto bad = play(seed, size, faults);
         if (bad.empty()) continue;
         ++failed;
@@ -30,6 +35,8 @@
         for (auto& b : bad) std::printf("  -> %s\n", b.c_str());
         std::fflush(stdout);
     }
+    for (auto& [pair, n] : met) std::printf("%6zu  %s\n", n, pair.c_str());
+    if (meetings) std::printf("%zu of %zu pairs met\n", met.size(), pairs);
     std::printf("%zu of %llu plays failed\n", failed, static_cast<unsigned long long>(seeds));
     return failed > 0;
 }
--- a/tests/plays_test.cpp
+++ b/tests/plays_test.cpp
@@ -18,6 +18,16 @@
     }
 }
 
+// Each pair of troubles once.
+class Meetings : public testing::TestWithParam<std::uint64_t> {};
+INSTANTIATE_TEST_SUITE_P(Pairs, Meetings, testing::Range<std::uint64_t>(0, 16));
+TEST_P(Meetings, KeepTheRules) {
+    spdlog::set_level(spdlog::level::off);
+    for (auto seed = GetParam(); seed < pairs; seed += 16 * seeds_part)
+        for (auto& b : play(seed, 12, draw_meeting(seed, 12)))
+            ADD_FAILURE() << "meeting " << seed << ": " << b;
+}
+
 // The checker sees what is wrong, and a failing play shrinks to what it needs.
 TEST(Shrinking, KeepsWhatThePlayNeeds) {
     spdlog::set_level(spdlog::level::off);
--- a/tests/standin.cpp
+++ b/tests/standin.cpp
@@ -242,6 +242,10 @@
 }
 
 void World::deliver(const std::string& from, const std::string& to, http::Request r, http::Reply reply) {
+    if (to == state_addr && now_ < slow_until_) {
+        double by = std::uniform_real_distribution<double>(0.5, 1)(random_) * slow_by_;
+        return at(now_ + by, [this, from, r, reply] { state(from, r, reply); });
+    }
     if (to == state_addr) return state(from, r, std::move(reply));
     if (to == cloud_addr) return reply(cloud(r));
     for (auto& n : nodes_) {
@@ -766,12 +770,15 @@
            {"stow_s", 1.0}};
     if (more.is_object()) j.update(more);
     jobs[id].spec = j;
-    ask(id, "POST", "/api/jobs", j.dump(), [this, id](const http::Response& r) {
-        if (r.status != 200 && r.status != 201)
-            return rule("submission of " + id + " got " + std::to_string(r.status));
-        jobs[id].accepted = true;
-        jobs[id].answered_at = now_;
-    });
+    ask(
+        id, "POST", "/api/jobs", j.dump(),
+        [this, id](const http::Response& r) {
+            if (r.status != 200 && r.status != 201)
+                return rule("submission of " + id + " got " + std::to_string(r.status));
+            jobs[id].accepted = true;
+            jobs[id].answered_at = now_;
+        },
+        options_.submit_tries);
 }
 void World::submit_awaiting(const std::string& id, const std::string& kind, int tasks, double run_s,
                             std::vector<std::string> awaits, json more) {
--- a/tests/standin.hpp
+++ b/tests/standin.hpp
@@ -108,6 +108,7 @@
     double value_kb = 16, next_value_kb = 16;
     std::uint32_t txn_ops = 8, next_txn_ops = 8;
     double limits_fall_at = 1e9;
+    int submit_tries = 40;  // of a user, 1.5 s apart
 };
 
 class World {
@@ -138,6 +139,11 @@
     }
     bool healthy(std::size_t node) const { return nodes_[node].controller->healthy(); }
     void state_down(double for_s) { state_down_until_ = now_ + for_s; }
+    // Each answer of the state service takes so much longer, or half as much at the least.
+    void slow_state(double for_s, double by_s) {
+        slow_until_ = now_ + for_s;
+        slow_by_ = by_s;
+    }
     void cloud_down(double for_s) { cloud_down_until_ = now_ + for_s; }
     void fall_further(double value_kb, std::uint32_t txn_ops) {  // than the settings announce
         options_.next_value_kb = value_kb;
@@ -162,7 +168,10 @@
         ask("", "POST", "/api/jobs", body, std::move(done));
     }
     void post_to(std::size_t node, const std::string& body, http::Reply done) {
-        nodes_[node].controller->serve({"POST", "/api/jobs", body}, std::move(done));
+        ask_node(node, {"POST", "/api/jobs", body}, std::move(done));
+    }
+    void ask_node(std::size_t node, http::Request r, http::Reply done) {
+        nodes_[node].controller->serve(std::move(r), std::move(done));
     }
     void poll_all();
     // Called with each message as it is sent, so that a fault can be placed right after it.
@@ -268,6 +277,7 @@
     };
     std::vector<Cut> cuts_;
     double copies_until_ = 0, copies_late_ = 0;
+    double slow_until_ = 0, slow_by_ = 0;
     std::set<std::string> hidden_;
     std::optional<std::size_t> unserved_;
     std::string hidden_from_;
