--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -153,6 +153,10 @@
     s.gang_wait_s = w.number("gang_wait_s", 0);
     s.gang_peer_s = w.number("gang_peer_s", 0);
     s.cancel_s = w.number("cancel_s", 0, true);
+    // What ends the tasks of a cancelled job on a machine that no command reaches is its worker's lease. With
+    // less time than this nobody could renew one without breaking the rule.
+    if (s.cancel_s < s.lease_s + s.report_s)
+        throw BadSettings(file + ": field 'cluster.workers.cancel_s' must be at least lease_s + report_s");
     auto st = c.sub("state");
     s.state_rps = st.number("rps", 0, true);
     s.state_write_rps = st.number("write_rps", 0, true);
--- a/src/daemon/leader.cpp
+++ b/src/daemon/leader.cpp
@@ -14,24 +14,28 @@
 namespace {
 // Ratios to the report period, unless named otherwise.
 constexpr double tick_reports = 1.0 / 6;
+// Changes of jobs come together, so that watching costs few requests under load. They are confirmed often
+// enough that what an interruption leaves of the time for renewals is nearly all of it.
+state::ListWatch::Pace watch_pace(const config::Settings& s) {
+    double confirm_s = std::min(s.report_s / 3, hearing::renewal_s(s) / 8);
+    return {s.lease_s / 2, s.report_s / 60, s.report_s / 10, confirm_s};
+}
 // As many questions as the processor's share answers in so many report periods.
 double asked_at_once(const config::Settings& s, double reports) {
     return std::max(1.0, config::questions_per_s(s) * s.report_s * reports);
 }
 }  // namespace
 
-double Leader::keep_alive_s(const config::Settings& s, double ttl) {
-    // A cancelled task that a cut-off leader keeps alive must still be gone in time: its worker's lease runs
-    // out lease_s after the last answer, which is at most this long after the authority, itself at most a TTL
-    // after the cancellation was told.
-    return std::max(0.0, s.cancel_s - s.lease_s * (1 + state::drift) - ttl - s.report_s);
+double Leader::renew_until() const {
+    return hearing::renew_until(c_.settings, c_.election.ttl(), job_watch_.complete_at(),
+                                c_.election.authority_until());
 }
 
 Leader::Leader(Context context, std::uint64_t version, std::uint64_t seed)
     : c_(std::move(context)),
       version_(version),
       random_(seed),
-      keep_alive_(keep_alive_s(c_.settings, c_.election.ttl())),
+      keep_alive_(hearing::keep_alive_s(c_.settings, c_.election.ttl())),
       picture_(version, c_.types),
       table_(c_.settings.value_kb),
       store_(c_.timers, c_.state, c_.settings,
@@ -40,8 +44,29 @@
               [this](const std::vector<pages::MachineStore::Record>& r) {
                   if (!stopped_) machines_stored(r);
               }}),
-      asks_(config::questions_per_s(c_.settings),
-            asked_at_once(c_.settings, ask_reports)),
+      job_watch_(c_.timers, c_.state, keys::jobs, watch_pace(c_.settings),
+                 {[this](const std::vector<wire::Event>& events, std::uint64_t settled) {
+                      if (stopped_) return;
+                      bool news = false;
+                      {
+                          std::lock_guard lock(mutex_);
+                          for (auto& e : events)
+                              if (e.value)
+                                  news |= take_job(e.key.substr(keys::jobs.size()), e.version, *e.value);
+                          table_.seen_revision(settled);
+                      }
+                      if (news) jobs_changed();
+                  },
+                  [this](const state::Listed& all) {
+                      if (stopped_) return;
+                      {
+                          std::lock_guard lock(mutex_);
+                          for (auto& e : all.entries)
+                              take_job(e.key.substr(keys::jobs.size()), e.version, e.value);
+                      }
+                      jobs_changed();
+                  }}),
+      asks_(config::questions_per_s(c_.settings), asked_at_once(c_.settings, ask_reports)),
       judge_({c_.settings.report_s, c_.settings.lease_s, c_.settings.op.silence_reports,
               c_.settings.peers.size()}),
       settling_(picture_, c_.settings.report_s),
@@ -53,7 +78,7 @@
                    take_all(found);
                    if (c_.settings.op.standby)
                        teller_.start(found.record_version, found.inherits ? found.record : std::nullopt);
-                   watch_jobs(found.jobs.revision);
+                   job_watch_.start(found.jobs.revision, found.jobs_listed_at);
                    loaded();
                }),
       teller_(c_.timers, c_.http, c_.settings, c_.state, version,
@@ -108,7 +133,7 @@
         }
         try {
             table_.put_progress(id, slash == std::string::npos ? "" : rest.substr(slash + 1),
-                                wire::parse_bits(e.value));
+                                wire::parse_bits(e.value), e.version);
         } catch (const std::exception& x) {
             spdlog::error("progress {}: {}", e.key, x.what());
         }
@@ -260,58 +285,36 @@
     if (!early_.empty()) c_.timers.after(0, guarded([this] { hear_early(); }));
 }
 
-void Leader::take_job(const std::string& id, std::uint64_t version, const std::string& value) {
+// Whether it was news.
+bool Leader::take_job(const std::string& id, std::uint64_t version, const std::string& value) {
+    if (table_.knows(id, version)) return false;
     try {
         auto record = wire::parse_job_record(value);
         bool cancelled = record.cancelled;
-        if (!table_.put(id, version, std::move(record))) return;
+        if (!table_.put(id, version, std::move(record))) return false;
         auto& e = *table_.find(id);
         e.image = picture_.image(e.spec->image);
         spdlog::debug("job {} of class {}: {} tasks, awaits {}, cancelled {}", id, e.spec->cls, e.spec->tasks,
                       e.awaits.size(), e.cancelled);
         if (cancelled) stop_active(id, e, 0);
+        return true;
     } catch (const wire::Malformed& x) {
         spdlog::error("job {}: {}", id, x.what());
+        // Its tasks must go all the same.
+        if (auto* e = table_.find(id); e && !e->cancelled && wire::says_cancelled(value)) {
+            e->version = version;
+            table_.cancel(id);
+            stop_active(id, *e, 0);
+            return true;
+        }
+        return false;
     }
 }
 
-void Leader::watch_jobs(std::uint64_t since) {
-    c_.state.watch(
-        keys::jobs, since, c_.settings.lease_s / 2, guarded([this, since](state::Watched w) {
-            if (w.status == state::Watched::Status::too_old) return reread_jobs();
-            if (w.status == state::Watched::Status::failed) {
-                c_.timers.after(c_.settings.report_s / 10, guarded([this, since] { watch_jobs(since); }));
-                return;
-            }
-            auto next = std::max(since, w.events.revision);
-            {
-                std::lock_guard lock(mutex_);
-                for (auto& e : w.events.events)
-                    if (e.value) take_job(e.key.substr(keys::jobs.size()), e.version, *e.value);
-                table_.seen_revision(next);
-            }
-            if (!w.events.events.empty()) plan_soon();
-            read_ends();
-            flush_all();
-            // A short pause lets changes come together, so that watching costs few requests under load.
-            c_.timers.after(c_.settings.report_s / 60, guarded([this, next] { watch_jobs(next); }));
-        }));
-}
-void Leader::reread_jobs() {
-    c_.state.list(keys::jobs, Rank::write, guarded([this](state::Listed l) {
-                      if (!l.ok) {
-                          c_.timers.after(c_.settings.report_s / 5, guarded([this] { reread_jobs(); }));
-                          return;
-                      }
-                      {
-                          std::lock_guard lock(mutex_);
-                          for (auto& e : l.entries)
-                              take_job(e.key.substr(keys::jobs.size()), e.version, e.value);
-                      }
-                      plan_soon();
-                      read_ends();
-                      watch_jobs(l.revision);
-                  }));
+void Leader::jobs_changed() {
+    plan_soon();
+    read_ends();
+    flush_all();
 }
 
 void Leader::cancelled(const std::string& id, std::uint64_t version) {
--- a/src/daemon/leader.hpp
+++ b/src/daemon/leader.hpp
@@ -18,6 +18,7 @@
 #include "fleet/usage.hpp"
 #include "hearing/lent.hpp"
 #include "hearing/memory.hpp"
+#include "hearing/renewal.hpp"
 #include "jobs/table.hpp"
 #include "loop/bucket.hpp"
 #include "membership/judge.hpp"
@@ -25,6 +26,7 @@
 #include "placement/placement.hpp"
 #include "standby/teller.hpp"
 #include "state/election.hpp"
+#include "state/list_watch.hpp"
 #include "takeover/reading.hpp"
 #include "takeover/settling.hpp"
 #include "wire/peer.hpp"
@@ -76,8 +78,6 @@
         teller_.started_anew(controller, incarnation);
     }
     void cancelled(const std::string& id, std::uint64_t version);
-    // How long after its authority has run out a leader goes on renewing workers' leases, without commands.
-    static double keep_alive_s(const config::Settings& s, double ttl);
 
   private:
     // A new leader asks most machines only then, if they have not been heard.
@@ -100,14 +100,14 @@
     void take_all(const takeover::Found& found);
     void loaded();
     void recall_images();
-    void watch_jobs(std::uint64_t since);
-    void reread_jobs();
-    void take_job(const std::string& id, std::uint64_t version, const std::string& value);
+    void jobs_changed();
+    bool take_job(const std::string& id, std::uint64_t version, const std::string& value);
     void tick();
 
     // machines
     fleet::Heard hear(const wire::Report& r, fleet::Via via);
-    bool may_renew() const;
+    double renew_until() const;
+    bool may_renew() const { return !stopped_ && now() <= renew_until(); }
     bool hello_again(const std::string& body, const http::Reply& reply);
     wire::PeerRelayed answer_report(const std::string& body, const std::string& hearer, std::string& machine);
     std::optional<std::string> better_place(fleet::Machine& m);
@@ -159,6 +159,7 @@
     void read_ends();
     void audit();
     void stored_failed(const std::string& id, const state::Committed& c);
+    void read_block(const std::string& id, const std::string& block);
     wire::Txn leader_txn() const;
 
     // plans
@@ -194,6 +195,7 @@
     fleet::Picture picture_;
     jobs::Table table_;
     pages::MachineStore store_;
+    state::ListWatch job_watch_;
 
     std::deque<std::pair<std::string, http::Reply>> early_;  // reports that came before the jobs were loaded
     std::uint64_t attempts_ = 0, rentals_made_ = 0;
--- a/src/daemon/leader_jobs.cpp
+++ b/src/daemon/leader_jobs.cpp
@@ -54,7 +54,7 @@
     t.conditions.push_back({keys::job(id), e.version});  // fails if it was cancelled meanwhile
     t.changes.push_back({keys::final(id), wire::stored(wire::FinalRecord{state, e.spec->tasks}), 0});
     t.changes.push_back({keys::job(id), std::nullopt, 0});
-    for (auto b : e.blocks) {
+    for (auto& [b, version] : e.blocks) {
         auto key = keys::progress_of(id, b);
         if (t.changes.size() < c_.state.limits().txn_ops())
             t.changes.push_back({key, std::nullopt, 0});
@@ -122,8 +122,15 @@
         blocks.insert(b);
         tasks.insert(task);
     }
-    for (auto& b : blocks)
-        t.changes.push_back({keys::progress_of(id, b), table_.block_value(e, b, limits.value_bytes()), 0});
+    for (auto& b : blocks) {
+        // A block is written whole. One whose answer was lost may be carried out after newer ones, and would
+        // take out what they added, whose tasks the machines have been told to forget: it fails on the
+        // version.
+        auto known = e.blocks.find(b);
+        auto key = keys::progress_of(id, b);
+        t.conditions.push_back({key, known == e.blocks.end() ? 0 : known->second});
+        t.changes.push_back({std::move(key), table_.block_value(e, b, limits.value_bytes()), 0});
+    }
     c_.state.txn(std::move(t), Rank::write, guarded([this, id, tasks, blocks](Committed c) {
                      if (c.status != Committed::Status::committed) return stored_failed(id, c);
                      std::lock_guard lock(mutex_);
@@ -133,7 +140,7 @@
                      e->retry_at =
                          now() + c_.settings.report_s / 6;  // tasks that end together are stored together
                      for (auto task : tasks) e->unstored.erase(task);
-                     e->blocks.insert(blocks.begin(), blocks.end());
+                     for (auto& b : blocks) e->blocks[b] = c.revision;
                      picture_.stored(id, tasks);
                  }));
 }
@@ -144,9 +151,11 @@
 void Leader::audit() {
     if (auditing_ || !authority() || now() - last_audit_ < c_.settings.lease_s * audit_leases) return;
     auditing_ = true;
+    table_.listing(true);
     last_audit_ = now();
     c_.state.list(keys::jobs, Rank::background, guarded([this](state::Listed l) {
                       auditing_ = false;
+                      table_.listing(false);
                       if (!l.ok) return;
                       std::size_t missed = 0, left = 0;
                       std::set<std::string> stored;
@@ -183,7 +192,17 @@
     // What was too large is written in smaller parts the next time; if it can't be, not without pause.
     bool rejected = c.status == Committed::Status::rejected;
     e->retry_at = now() + c_.settings.report_s * (rejected ? 1.0 / 2 : 1.0 / 10);
-    if (c.status != Committed::Status::conflict || !c.failed_on(keys::job(id))) return;
+    if (c.status != Committed::Status::conflict) return;
+    auto progress = keys::progress_of(id, "");
+    if (!c.failed_on(keys::job(id))) {
+        // A write whose answer was lost was carried out. Of several blocks the next try tells the next.
+        for (auto& key : c.failed)
+            if (key.starts_with(progress)) {
+                e->writing = true;
+                return read_block(id, key.substr(progress.size()));
+            }
+        return;
+    }
     // Cancelled by some controller, or stored by a transaction whose answer was lost: read, then decide.
     e->writing = true;
     c_.state.get(keys::job(id), Rank::write, guarded([this, id](state::Found f) {
@@ -201,6 +220,17 @@
                      }
                  }));
 }
+void Leader::read_block(const std::string& id, const std::string& block) {
+    c_.state.get(keys::progress_of(id, block), Rank::write, guarded([this, id, block](state::Found f) {
+                     auto* e = table_.find(id);
+                     if (!e) return;
+                     e->writing = false;
+                     if (f.ok && f.entry)
+                         e->blocks[block] = f.entry->version;
+                     else if (f.ok)
+                         e->blocks.erase(block);
+                 }));
+}
 // Only a leader removes the key, and only this one leads: a transaction whose answer was lost was executed.
 // Which of them, the final record says: the job may have been done, or cancelled in between.
 void Leader::read_end(const std::string& id) {
--- a/src/daemon/leader_machines.cpp
+++ b/src/daemon/leader_machines.cpp
@@ -24,11 +24,6 @@
 constexpr double own_share = 0.1, moved_share = 1.0 / 50, moved_leases = 4;
 }  // namespace
 
-// Without authority the workers' leases are renewed for a bounded time, and nothing new is commanded.
-bool Leader::may_renew() const {
-    return !stopped_ && (authority() || now() <= c_.election.authority_until() + keep_alive_);
-}
-
 void Leader::hello(std::string body, http::Reply reply) {
     if (!loaded_) {
         early_.emplace_back(std::move(body), std::move(reply));
@@ -51,7 +46,7 @@
 // A report that says what the last one of its machine said, and that one is the last that was heard of it.
 bool Leader::hello_again(const std::string& body, const http::Reply& reply) {
     auto o = wire::outline_report(body);
-    if (!o || !authority()) return false;
+    if (!o || !authority() || !may_renew()) return false;
     auto* r = memory_.repeats(body, *o);
     if (!r) return false;
     std::lock_guard lock(mutex_);
@@ -126,7 +121,8 @@
 void Leader::relay(const wire::PeerRelay& q, http::Reply reply) {
     const auto& s = c_.settings;
     wire::PeerRelayAnswer a;
-    a.leads = q.leader_version == version_ && may_renew() && s.op.hearing;
+    bool leads = loaded_ ? may_renew() : authority();
+    a.leads = q.leader_version == version_ && leads && s.op.hearing;
     a.ready = a.leads && loaded_;
     auto send = [&] { reply({200, wire::pack_peer(a), "application/msgpack"}); };
     if (!a.ready) return send();
@@ -151,8 +147,7 @@
     flush_all();
     // Within the time for which this leader itself may renew leases, which its successor counts on, and which
     // ends early enough for tasks that are cancelled.
-    double left = c_.election.authority_until() + keep_alive_ - now();
-    double grant = std::max(0.0, std::min({s.report_s, keep_alive_, left}));
+    double grant = std::max(0.0, std::min({s.report_s, keep_alive_, renew_until() - now()}));
     a.grant_ms = static_cast<std::uint64_t>(grant * 1000);
     a.recalled = lent_.answer(q.label, now() + grant * (1 + 2 * state::drift));
     send();
--- a/src/jobs/table.cpp
+++ b/src/jobs/table.cpp
@@ -134,11 +134,12 @@
     }
 }
 
-void Table::put_progress(const std::string& id, const std::string& block, const std::vector<bool>& bits) {
+void Table::put_progress(const std::string& id, const std::string& block, const std::vector<bool>& bits,
+                         std::uint64_t version) {
     auto first = range_of(block, 0).first;
     auto* e = find(id);
     if (!e) return;
-    e->blocks.insert(block);
+    e->blocks[block] = version;
     for (std::size_t i = 0; i < bits.size(); ++i) {
         auto task = first + i;
         if (!bits[i] || task >= e->done.size() || e->done[task]) continue;
--- a/src/jobs/table.hpp
+++ b/src/jobs/table.hpp
@@ -38,8 +38,8 @@
     std::uint32_t done_count = 0, first_open = 0;
     std::map<std::uint32_t, Active> active;  // not proven gone
     int strays = 0;
-    std::set<std::uint32_t> unstored;  // tasks done whose progress is not stored yet
-    std::set<std::string> blocks;      // progress blocks that exist at the state service
+    std::set<std::uint32_t> unstored;             // tasks done whose progress is not stored yet
+    std::map<std::string, std::uint64_t> blocks;  // progress blocks at the state service, and their versions
     bool writing = false;
     double retry_at = 0;    // storing is tried again then
     double not_before = 0;  // pause after failures
@@ -80,7 +80,8 @@
     // Takes a stored record in; false if it is older than what is known, or of a job that is over.
     bool put(const std::string& id, std::uint64_t version, wire::JobRecord record);
     // A block by its name, as it is in its key; throws std::invalid_argument for a name it can't read.
-    void put_progress(const std::string& id, const std::string& block, const std::vector<bool>& bits);
+    void put_progress(const std::string& id, const std::string& block, const std::vector<bool>& bits,
+                      std::uint64_t version);
     // The job is over, and stored so at this revision.
     void erase(const std::string& id, std::uint64_t revision);
     // How a job ended, as the state service says, and when, if that was just now. Once all that a job awaits
@@ -88,10 +89,12 @@
     void ended(const std::string& id, wire::JobState state, std::optional<double> unix_now);
     void cancel(const std::string& id);
     const Awaits& awaits() const { return awaits_; }
-    // Changes up to this revision were seen: older news of jobs that are over can't come any more.
+    // Changes up to this revision were seen: older news of jobs that are over can't come any more, but with a
+    // list that is being read. Until that is over, none is forgotten.
     void seen_revision(std::uint64_t revision) {
-        std::erase_if(over_, [&](auto& o) { return o.second < revision; });
+        if (!listing_) std::erase_if(over_, [&](auto& o) { return o.second < revision; });
     }
+    void listing(bool under_way) { listing_ = under_way; }
     std::string block_value(const Entry& e, const std::string& block, std::size_t value_bytes) const;
     std::map<std::string, Entry>& all() { return jobs_; }
 
@@ -108,6 +111,7 @@
     std::size_t block_;
     std::map<std::string, Entry> jobs_;
     Awaits awaits_;
+    bool listing_ = false;
     std::unordered_map<std::string, std::uint64_t> over_;  // with the revision at which they were over
 };
 
--- a/src/standby/teller.cpp
+++ b/src/standby/teller.cpp
@@ -19,8 +19,8 @@
 constexpr double begin_reports = 2;  // and how long one may take that is only beginning: nothing waits for it
 constexpr double least_pause_reports = 1.0 / 2;
 constexpr double write_again_reports = 1.0 / 40;
-// In a piece, so that no turn of the loop gets long. A new leader is so busy that each piece of a copy takes a
-// fifth of a second: in smaller pieces nobody was whole when it was killed a second after it began.
+// In a piece, so that no turn of the loop gets long. A new leader is so busy that each piece of a copy takes
+// a fifth of a second: in smaller pieces nobody was whole when it was killed a second after it began.
 constexpr std::size_t most_rows = 1024;
 }  // namespace
 
--- a/src/takeover/reading.cpp
+++ b/src/takeover/reading.cpp
@@ -76,6 +76,7 @@
 }
 // What is stored, by now for good: what the leader before may still write fails on its version.
 void Reading::list_all() {
+    found_.jobs_listed_at = timers_.now();
     list(keys::jobs, &Found::jobs, [this] {
         list(keys::progress, &Found::progress, [this] {
             list(keys::machines, &Found::machines, [this] {
--- a/src/takeover/reading.hpp
+++ b/src/takeover/reading.hpp
@@ -37,6 +37,7 @@
     std::uint64_t record_version = 0;  // of the standby record's key; 0: there is none
     std::optional<wire::StandbyRecord> record;
     state::Listed jobs, progress, machines;
+    double jobs_listed_at = 0;  // steady time at which that list was begun
 };
 
 class Reading {
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -134,6 +134,8 @@
         {"memory_mb = 136.0", "memory_mb = 0.1", "'cluster.limits.memory_mb' must be at least 8"},
         {"memory_mb = 136.0", "memory_mb = 1e9", "'cluster.limits.memory_mb' must be at most 1.6e+07"},
         {"sockets = 2500", "sockets = 0", "'cluster.limits.sockets' must be a whole number"},
+        {"cancel_s = 61.0", "cancel_s = 33.0",
+         "'cluster.workers.cancel_s' must be at least lease_s + report_s"},
         {"gpus = 8", "gpus = -8", "'cluster.teams[0].gpus' must be at least 0"},
     };
     for (auto& c : cases) {
--- /dev/null
+++ b/tests/list_watch_test.cpp
@@ -0,0 +1,72 @@
+// Until when a follower of changes knows all of them: what an answer proves, and what none does.
+#include "state/list_watch.hpp"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "fake_timers.hpp"
+
+namespace coralhitch::state {
+namespace {
+using nlohmann::json;
+
+// Answers what it is told to; a watch that waits stays open until it is over.
+struct Service : http::Requester {
+    explicit Service(FakeTimers& t) : timers(t) {}
+    void send(const std::string&, http::Request r, double timeout, http::Result result) override {
+        bool list = r.target.starts_with("/kv?"), waits = !list && !r.target.ends_with("hold_ms=0");
+        std::optional<http::Response> answer;
+        if (refuses) answer = http::Response{503, "{}"};
+        if (!refuses && list)
+            answer =
+                http::Response{200, json{{"entries", json::array()}, {"more", false}, {"epoch", 90}}.dump()};
+        if (!refuses && !list && r.target.find("since=90") == std::string::npos && too_old)
+            answer = http::Response{410, "{}"};
+        if (!answer && !silent)
+            answer = http::Response{200, json{{"epoch", 7}, {"news", json::array()}}.dump()};
+        timers.after(answer ? waits ? 12.0 : delay : timeout, [answer, result] { result(answer); });
+    }
+    FakeTimers& timers;
+    bool refuses = false, too_old = false, silent = false;
+    double delay = 0.01;
+};
+
+TEST(ListWatch, IsCompleteByAnswersToReadsOnly) {
+    struct Case {
+        const char* name;
+        void (*trouble)(Service&);
+        double least, most;  // how long ago it was complete, after 8 s of the trouble, s
+        bool listed;
+    };
+    const Case cases[] = {
+        {"none", [](Service&) {}, 0, 1.1, false},
+        {"slow: the sending counts", [](Service& s) { s.delay = 1; }, 1, 3.1, false},
+        {"refused", [](Service& s) { s.refuses = true; }, 8, 9.1, false},
+        {"no answer, watches open", [](Service& s) { s.silent = true; }, 8, 9.1, false},
+        {"changes are not kept for so long", [](Service& s) { s.too_old = true; }, 0, 1.2, true},
+    };
+    for (auto& c : cases) {
+        config::Settings settings;
+        settings.report_s = 3;
+        settings.nodes = 3;
+        settings.state_rps = settings.state_write_rps = 200;
+        FakeTimers timers;
+        Service service(timers);
+        Client client(timers, service, settings);
+        bool listed = false;
+        ListWatch w(timers, client, "job/", {12, 0.05, 0.3, 1},
+                    {[](auto&, auto) {}, [&](auto&) { listed = true; }});
+        EXPECT_LT(w.complete_at(), 0);
+        w.start(5, 0);
+        timers.run_until(20);
+        c.trouble(service);
+        timers.run_until(28);
+        EXPECT_GE(28 - w.complete_at(), c.least) << c.name;
+        EXPECT_LE(28 - w.complete_at(), c.most) << c.name;
+        EXPECT_EQ(listed, c.listed) << c.name;
+    }
+}
+
+}  // namespace
+}  // namespace coralhitch::state
