--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import bisect
+import ctypes
 import json
 import os
 import random
@@ -753,7 +754,8 @@
         log = open(os.path.join(self.world.folder, f"{self.label}.log"), "a")
         env = dict(os.environ, LOG_LEVEL=os.environ.get("LOG_LEVEL", "info"))
         self.process = subprocess.Popen(self.world.command + [self.settings], cwd=ROOT, env=env,
-                                        stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+                                        stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                                        preexec_fn=end_with_parent)
         processes.append(self.process)
         self.record(self.label, f"started, process {self.process.pid}")
 
@@ -783,6 +785,7 @@
         random.seed(seed)
         self.record = Record(os.path.join(folder, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="review-")
+        folders.append(self.folder)
         with open(os.path.join(ROOT, "deploy", "service.toml")) as file:
             run = [line for line in file if line.startswith("run = ")][0]
         self.command = shlex.split(run.split("=", 1)[1].strip().strip('"'))
@@ -936,15 +939,24 @@
         return await self.user("user", node.public_addr, "GET", f"/api/jobs/{id}", timeout=2.0)
 
 
-processes = []  # of the controllers that were started
+processes, folders = [], []  # of the controllers that were started; temporary ones
+kill_with_parent = ctypes.CDLL(None).prctl
+
+
+def end_with_parent():
+    """Runs in a new process: the system kills it when this one ends, however that happens."""
+    kill_with_parent(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
 
 
 def finish(status):
     """Ends this process and all that it started. Waits for no stand-in."""
     for process in processes:
         if process.poll() is None:
-            process.kill()
+            process.kill()  # also ends a stopped process
             process.wait()
+    for folder in folders:
+        if not os.environ.get("KEEP_LOGS"):
+            shutil.rmtree(folder, ignore_errors=True)
     print({0: "held", 1: "BROKEN", 2: "could not run"}[status], flush=True)
     os._exit(status)
 
@@ -954,6 +966,8 @@
     watchdog = threading.Timer(118, lambda: finish(2))
     watchdog.daemon = True
     watchdog.start()
+    for sig in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+        signal.signal(sig, lambda *_: finish(2))
 
     async def run():
         status = 2
