Event loop: name the work of turns that take too long, also while they run

Cause: a controller that hung in one turn of its event loop left no trace. Its log stopped, /metrics did not answer, and the loss of the lease at the next controller was all that could be seen. Neither told a slow planner, a lock, a message or a record apart.

Change: TurnMonitor records each turn and the work in it (WorkScope: job changes, stored state, plans, heartbeats, machine checks, ends, reads). A turn of more than a quarter of a report period is logged when it ends (event=long_turn) and counted. TurnWatchdog, a thread of its own, logs one that does not end (event=unfinished_turn), again each time its duration has doubled.

The two metrics are new, so they have no series of the previous release: the test of all series compares those of the others as before, and checks that these have none.

--- a/src/api/live_jobs.cpp
+++ b/src/api/live_jobs.cpp
@@ -92,6 +92,7 @@
             return read_all(std::move(batch));
         }
         if (!result.ok()) return answer(batch, false);
+        const event_loop::WorkScope work(timers_, "live_job_changes", result.events.events.size());
         removed_by_last_changes_ = 0;
         for (auto& event : result.events.events)
             apply_entry(event.key, event.version, event.value ? &*event.value : nullptr);
@@ -116,6 +117,7 @@
 }
 
 void LiveJobs::answer(const Batch& batch, bool ok) {
+    const event_loop::WorkScope work(timers_, "job_reads", batch.size());
     request_in_flight_ = false;
     for (auto& read : batch) {
         auto* job = cached(read.id);
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -53,6 +53,8 @@
 
     // Includes the use of `sockets` in the metrics and the log. `sockets` must outlive the controller.
     void watch_sockets(const http::SocketBudget& sockets);
+    // Includes the turns of the event loop in the metrics. `turns` must outlive the controller.
+    void watch_turns(const event_loop::TurnMonitor& turns) { metrics_exporter_.watch_turns(turns); }
     // Returns the counts of heartbeats that this controller rejected.
     [[nodiscard]] relay::HeartbeatRejections& heartbeat_rejections() { return heartbeats_.rejections(); }
 
--- a/src/controller/main.cpp
+++ b/src/controller/main.cpp
@@ -12,6 +12,7 @@
 
 #include "config/settings.hpp"
 #include "controller/controller.hpp"
+#include "controller/turn_log.hpp"
 #include "controller/version.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
@@ -100,7 +101,9 @@
 // Runs the event loop and does not return. Throws if a listening address cannot be bound.
 void run_controller(const config::Settings& settings) {
     std::signal(SIGPIPE, SIG_IGN);  // a peer that closed its connection is an error of that connection alone
+    event_loop::TurnMonitor turns(controller::long_turn_s(settings));
     event_loop::EventLoop loop;
+    loop.monitor_turns(turns, controller::log_long_turn);
     http::SocketBudget sockets(static_cast<std::size_t>(settings.sockets * http::usable_sockets),
                                http::controller_shares);
     http::Client client(loop, client_limits(settings, sockets));
@@ -121,6 +124,8 @@
                              });
     log_start(settings);
     controller.watch_sockets(sockets);
+    controller.watch_turns(turns);
+    const event_loop::TurnWatchdog watchdog(loop, turns, controller::log_unfinished_turn);
     controller.start();
     loop.run();
 }
--- a/src/controller/metrics_exporter.cpp
+++ b/src/controller/metrics_exporter.cpp
@@ -17,6 +17,7 @@
     collect_heartbeats();
     collect_sockets();
     collect_kv();
+    collect_turns();
     metrics_.set(Metric::replica_machines, to_double(sources_.replica.replica().machines.size()));
     return metrics_.text();
 }
@@ -79,4 +80,11 @@
     metrics_.set(Metric::kv_transactions_rejected, to_double(sources_.kv.rejections()));
 }
 
+void MetricsExporter::collect_turns() {
+    if (!turns_) return;
+    metrics_.set(Metric::event_loop_longest_turn, turns_->longest_turn_s());
+    for (auto& [work, turns] : turns_->long_turns())
+        metrics_.set(Metric::event_loop_long_turns, work, to_double(turns));
+}
+
 }  // namespace coralhitch::controller
--- a/src/controller/metrics_exporter.hpp
+++ b/src/controller/metrics_exporter.hpp
@@ -8,6 +8,7 @@
 #include "api/user_api.hpp"
 #include "controller/heartbeat_intake.hpp"
 #include "controller/local_leader.hpp"
+#include "event_loop/turn_monitor.hpp"
 #include "http/socket_budget.hpp"
 #include "kv/kv_client.hpp"
 #include "metrics/metrics.hpp"
@@ -34,6 +35,8 @@
 
     // Includes the socket metrics, which are left out otherwise. `sockets` must outlive the exporter.
     void watch_sockets(const http::SocketBudget& sockets) { sockets_ = &sockets; }
+    // Includes the metrics of the event loop's turns. `turns` must outlive the exporter.
+    void watch_turns(const event_loop::TurnMonitor& turns) { turns_ = &turns; }
     // Returns the current values of all metrics in the Prometheus text format.
     [[nodiscard]] std::string text();
 
@@ -43,10 +46,12 @@
     void collect_heartbeats();
     void collect_sockets();
     void collect_kv();
+    void collect_turns();
 
     metrics::Metrics& metrics_;
     MetricsSources sources_;
     const http::SocketBudget* sockets_ = nullptr;
+    const event_loop::TurnMonitor* turns_ = nullptr;
 };
 
 }  // namespace coralhitch::controller
--- a/src/event_loop/event_loop.cpp
+++ b/src/event_loop/event_loop.cpp
@@ -111,6 +111,7 @@
         epoll_wait(epoll_.get(), event_buffer_.data(), static_cast<int>(event_buffer_.size()), timeout_ms);
     if (count < 0 && errno != EINTR) throw_system_error("epoll_wait");
     refresh_now();
+    begin_turn();
     const auto newest_generation = last_generation_;
     for (int i = 0; i < count; ++i)
         handle_event(event_buffer_[static_cast<std::size_t>(i)], newest_generation);
@@ -161,6 +162,26 @@
     for (auto& task : tasks) task();
 }
 
+// --- Long turns -----------------------------------------------------------------------------------------
+
+void EventLoop::monitor_turns(TurnMonitor& monitor, std::function<void(const LongTurn&)> on_long_turn) {
+    turn_monitor_ = &monitor;
+    on_long_turn_ = std::move(on_long_turn);
+}
+void EventLoop::begin_work(const Work& work) {
+    if (turn_monitor_) turn_monitor_->begin_work(work, now());
+}
+void EventLoop::end_work() {
+    if (turn_monitor_) turn_monitor_->end_work(now());
+}
+void EventLoop::begin_turn() {
+    if (turn_monitor_) turn_monitor_->begin_turn(now_);
+}
+void EventLoop::end_turn() {
+    if (!turn_monitor_) return;
+    if (auto turn = turn_monitor_->end_turn(now())) on_long_turn_(*turn);
+}
+
 // --- The loop -------------------------------------------------------------------------------------------
 
 // Returns the time-out for epoll_wait: 0 while events are queued, -1 (no time-out) without timers.
@@ -180,6 +201,7 @@
         run_posted_tasks();
         refresh_now();
         run_due_timers();
+        end_turn();
     }
 }
 
--- a/src/event_loop/event_loop.hpp
+++ b/src/event_loop/event_loop.hpp
@@ -16,6 +16,7 @@
 
 #include "event_loop/file_descriptor.hpp"
 #include "event_loop/timers.hpp"
+#include "event_loop/turn_monitor.hpp"
 
 namespace coralhitch::event_loop {
 
@@ -42,6 +43,11 @@
     [[nodiscard]] double unix_time() const override;
     TimerId after(double seconds, Task task) override;
     void cancel(TimerId id) override;
+    void begin_work(const Work& work) override;
+    void end_work() override;
+    // Passes the turns to `monitor`, and calls `on_long_turn` at the end of each long one. `monitor` must
+    // outlive the loop. Call before run().
+    void monitor_turns(TurnMonitor& monitor, std::function<void(const LongTurn&)> on_long_turn);
 
     // Calls the handler whenever one of these epoll flags is ready for the descriptor. The descriptor is in
     // Lane::urgent until set_lane() is called.
@@ -77,6 +83,8 @@
     void run_lane(std::deque<int>& queue, std::size_t limit);
     void run_posted_tasks();
     void run_due_timers();
+    void begin_turn();
+    void end_turn();
     void control_epoll(int operation, int fd, std::uint32_t events, const char* what);
 
     Fd epoll_, wake_;  // wake_: an eventfd that ends epoll_wait for posted tasks
@@ -94,6 +102,9 @@
 
     std::mutex posted_mutex_;  // guards posted_
     std::vector<Task> posted_;
+
+    TurnMonitor* turn_monitor_ = nullptr;
+    std::function<void(const LongTurn&)> on_long_turn_;
 };
 
 }  // namespace coralhitch::event_loop
--- a/src/leader/heartbeat_handler.cpp
+++ b/src/leader/heartbeat_handler.cpp
@@ -212,6 +212,7 @@
 
 cluster::HeartbeatOutcome HeartbeatHandler::apply(const protocol::Heartbeat& status,
                                                   cluster::HeartbeatChannel via) {
+    const event_loop::WorkScope work(timers_, "heartbeat", status.tasks.size());
     auto outcome = apply_to_state(status, via);
     if (outcome.is_deposed()) {
         auto fencing_token = cluster::FencingTokens::leadership_version(status.token);
--- a/src/leader/job_store.cpp
+++ b/src/leader/job_store.cpp
@@ -53,6 +53,7 @@
 
 void JobStore::store_due() {
     if (!authority_.holds()) return;
+    const event_loop::WorkScope work(timers_, "job_ends", state_.jobs.entries().size());
     auto due = state_.jobs.pending_writes(now(), callbacks_.placement_allowed());
     metrics_.set(metrics::Metric::leader_unstored_job_ends, static_cast<double>(due.done_jobs.size()));
     metrics_.set(metrics::Metric::leader_cancelled_jobs_to_remove,
--- a/src/leader/job_watcher.cpp
+++ b/src/leader/job_watcher.cpp
@@ -48,6 +48,7 @@
 
 void JobWatcher::apply_changes(const std::vector<protocol::Event>& events, std::uint64_t complete_revision) {
     if (authority_.ended()) return;
+    const event_loop::WorkScope work(timers_, "job_changes", events.size());
     bool any_new = false;
     {
         std::lock_guard lock(state_.mutex);
@@ -60,6 +61,7 @@
 
 void JobWatcher::apply_list(const kv::ListResult& all) {
     if (authority_.ended()) return;
+    const event_loop::WorkScope work(timers_, "job_list", all.entries.size());
     {
         std::lock_guard lock(state_.mutex);
         for (auto& entry : all.entries) apply_record(id_of(entry.key), entry.version, entry.value);
@@ -123,6 +125,7 @@
 }
 
 void JobWatcher::compare(const kv::ListResult& stored) {
+    const event_loop::WorkScope work(timers_, "job_audit", stored.entries.size());
     std::set<std::string> ids;
     auto unknown = apply_unknown(stored, ids);
     std::size_t not_stored = 0;
--- a/src/leader/machine_supervisor.cpp
+++ b/src/leader/machine_supervisor.cpp
@@ -37,6 +37,7 @@
       hooks_(std::move(hooks)) {}
 
 bool MachineSupervisor::check() {
+    const event_loop::WorkScope work(timers_, "machine_check", state_.cluster.machines().size());
     auto observed = observe();
     double recently_s = settings_.heartbeat_interval_s * settings_.op.suspicion_timeout_periods;
     auto last_answer_at = parts_.commands.last_answer_at();
--- a/src/leader/plan_executor.cpp
+++ b/src/leader/plan_executor.cpp
@@ -95,6 +95,7 @@
 void PlanExecutor::apply(const Plan& plan) {
     last_plan_s_ = now() - *last_plan_at_;
     if (!authority_.holds()) return;
+    const event_loop::WorkScope work(timers_, "plan", plan.out.starts.size());
     parts_.metrics.observe_planning_round(last_plan_s_);
     log_plan(plan);
     std::vector<PlannedStart> started;
--- a/src/leader/recovery.cpp
+++ b/src/leader/recovery.cpp
@@ -29,6 +29,7 @@
       }) {}
 
 void Recovery::apply_stored_state(const failover::RecoveredState& stored) {
+    const event_loop::WorkScope work(timers_, "stored_state", stored.jobs.entries.size());
     std::lock_guard lock(state_.mutex);
     load_jobs(stored);
     for (auto& [machine_id, record] : parts_.machine_store.load(stored.machines))
--- a/src/metrics/metric_definitions.cpp
+++ b/src/metrics/metric_definitions.cpp
@@ -15,6 +15,8 @@
     return {"coralhitch_placements_total", "what", name};
 }
 
+constexpr LegacySeries no_legacy_series{};
+
 constexpr auto counter = MetricType::counter;
 constexpr auto gauge = MetricType::gauge;
 
@@ -105,13 +107,17 @@
      "Time that sent requests waited in the queue, summed", legacy_current("queue_", "_waited_s")},
     {Metric::kv_request_longest_wait, gauge, "coralhitch_kv_request_longest_wait_seconds", "queue",
      "Longest time that a sent request waited in the queue", legacy_current("queue_", "_longest_wait_s")},
+    {Metric::event_loop_long_turns, counter, "coralhitch_event_loop_long_turns_total", "work",
+     "Turns of the event loop that took too long, by the work that took longest", no_legacy_series},
+    {Metric::event_loop_longest_turn, gauge, "coralhitch_event_loop_longest_turn_seconds", "",
+     "Longest turn of the event loop so far", no_legacy_series},
 };
 // clang-format on
 
 constexpr bool definitions_are_in_order() {
     for (std::size_t index = 0; index < std::size(definitions); ++index)
         if (static_cast<std::size_t>(definitions[index].metric) != index) return false;
-    return std::size(definitions) == static_cast<std::size_t>(Metric::kv_request_longest_wait) + 1;
+    return std::size(definitions) == static_cast<std::size_t>(Metric::event_loop_longest_turn) + 1;
 }
 static_assert(definitions_are_in_order(), "each metric is defined once, in the order of the enum");
 
--- a/src/metrics/metric_definitions.hpp
+++ b/src/metrics/metric_definitions.hpp
@@ -56,6 +56,8 @@
     kv_requests_refused,
     kv_request_wait,
     kv_request_longest_wait,
+    event_loop_long_turns,
+    event_loop_longest_turn,
 };
 
 enum class MetricType {
@@ -64,7 +66,8 @@
 };
 
 // The series in which the previous release served the same value:
-// `family{label="PREFIX + label value + SUFFIX"}`.
+// `family{label="PREFIX + label value + SUFFIX"}`. The family is empty for a metric that the previous release
+// did not have.
 struct LegacySeries {
     std::string_view family, label, prefix, suffix = "";
 };
--- a/tests/metrics/metrics_test.cpp
+++ b/tests/metrics/metrics_test.cpp
@@ -13,7 +13,8 @@
 
 struct Expected {
     Metric metric;
-    std::string label_value, current, legacy;
+    std::string label_value, current,
+        legacy;  // legacy: empty if the previous release did not have the metric
 };
 
 // Written out in full so that a mistake in the table of definitions makes the test fail.
@@ -98,6 +99,9 @@
     {Metric::kv_request_longest_wait, "cancellations",
      R"(coralhitch_kv_request_longest_wait_seconds{queue="cancellations"})",
      R"(coralhitch_current{of="queue_cancellations_longest_wait_s"})"},
+    {Metric::event_loop_long_turns, "job_changes",
+     R"(coralhitch_event_loop_long_turns_total{work="job_changes"})", ""},
+    {Metric::event_loop_longest_turn, "", "coralhitch_event_loop_longest_turn_seconds", ""},
 };
 
 TEST(Metrics, ServesEachValueUnderItsNameAndItsFormerName) {
@@ -110,8 +114,12 @@
     for (auto& expected : expected_series) {
         ++value;
         ASSERT_TRUE(served.contains(expected.current)) << expected.current;
-        ASSERT_TRUE(served.contains(expected.legacy)) << expected.legacy;
         EXPECT_EQ(std::stod(served[expected.current]), value) << expected.current;
+        if (expected.legacy.empty()) {
+            EXPECT_TRUE(definition_of(expected.metric).legacy.family.empty()) << expected.current;
+            continue;
+        }
+        ASSERT_TRUE(served.contains(expected.legacy)) << expected.legacy;
         EXPECT_EQ(served[expected.legacy], served[expected.current]) << expected.legacy;
     }
 }
