Job table: propagate urgency once for each job instead of once for each path

Workers' leases ran out, and replicas of other users ended.

Cause: JobTable::propagate_urgency took jobs from a stack and passed a due time on each time that a tighter one was found, so a job was visited once for each path to it. Their number doubles with each stage if the estimates are such that each path found is longer than the ones before. All of it was one turn of the event loop, under the lock of the leader's state: for the first leader as the watch delivered the last job, for the next ones as they loaded the stored jobs.

Change: the affected jobs are collected, and each passes its urgency on after all its dependents have (topological order), so each dependency is examined at most three times. Jobs that are loaded or watched together propagate in one pass (JobTable::Batch), in whatever order they are read; before, a leader that read them in an unlucky order made a pass for each. No limit on the length or width of a pipeline is added.

Stack and log lines of the hanging processes name the same function.

--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "jobs/urgency_propagation.hpp"
+
 namespace coralhitch::jobs {
 using protocol::JobState;
 
@@ -50,30 +52,23 @@
                       [&](auto& dependency) { return jobs_.contains(dependency); });
     for (auto& dependency : job.unfinished_dependencies)
         if (auto* found = find(dependency)) job.cancelled = job.cancelled || found->cancelled;
-    for (auto& dependent : dependencies_.direct_dependents(id)) propagate_urgency(dependent);
-    propagate_urgency(id);
+    inherit_from_dependents(id, job);
+    changed_urgency_.push_back(id);
+    if (open_batches_ == 0) propagate_urgency();
     if (job.cancelled) cancel_dependents(id);
 }
 
-// Propagates the priority and the due time of a job to its direct and transitive dependencies that have a
-// lower priority or a later due time.
-void JobTable::propagate_urgency(const std::string& id) {
-    std::vector<std::string> stack{id};
-    while (!stack.empty()) {
-        auto& job = jobs_.at(stack.back());
-        stack.pop_back();
-        for (auto& dependency_id : job.unfinished_dependencies) {
-            auto* dependency = find(dependency_id);
-            if (!dependency) continue;
-            double due_at = job.due_at - job.spec->estimated_run_s;
-            if (dependency->priority >= job.priority && dependency->due_at <= due_at) continue;
-            dependency->priority = std::max(dependency->priority, job.priority);
-            dependency->due_at = std::min(dependency->due_at, due_at);
-            stack.push_back(dependency_id);
-        }
+void JobTable::inherit_from_dependents(const std::string& id, JobEntry& job) {
+    for (auto& dependent : dependencies_.direct_dependents(id)) {
+        ++dependency_steps_;
+        inherit_urgency(job, jobs_.at(dependent));
     }
 }
 
+void JobTable::propagate_urgency() {
+    dependency_steps_ += jobs::propagate_urgency(jobs_, std::exchange(changed_urgency_, {}));
+}
+
 void JobTable::cancel(const std::string& id, std::uint64_t version) {
     if (auto* job = find(id)) {
         job->cancelled = true;
@@ -85,8 +80,10 @@
 }
 
 void JobTable::cancel_dependents(const std::string& id) {
-    dependencies_.visit_dependents(
-        id, [&](auto& dependent) { return !std::exchange(jobs_.at(dependent).cancelled, true); });
+    dependencies_.visit_dependents(id, [&](auto& dependent) {
+        ++dependency_steps_;
+        return !std::exchange(jobs_.at(dependent).cancelled, true);
+    });
 }
 
 void JobTable::apply_outcome(const std::string& id, JobState state, std::optional<double> ended_at) {
--- a/src/jobs/job_table.hpp
+++ b/src/jobs/job_table.hpp
@@ -32,6 +32,21 @@
 // thread.
 class JobTable {
   public:
+    // Delays the propagation of urgency between jobs (priorities and due times) until the object is
+    // destroyed. Jobs that are added together then cost one pass over all of them instead of one pass each.
+    class Batch {
+      public:
+        explicit Batch(JobTable& table) : table_(table) { ++table_.open_batches_; }
+        ~Batch() {
+            if (--table_.open_batches_ == 0) table_.propagate_urgency();
+        }
+        Batch(const Batch&) = delete;
+        Batch& operator=(const Batch&) = delete;
+
+      private:
+        JobTable& table_;
+    };
+
     // Creates an empty table. `value_kb` is the configured size limit of a stored value, in KiB.
     explicit JobTable(double value_kb) : progress_layout_(value_kb) {}
 
@@ -42,6 +57,10 @@
     [[nodiscard]] const DependencyGraph& dependencies() const { return dependencies_; }
     [[nodiscard]] const ProgressLayout& progress_layout() const { return progress_layout_; }
 
+    // Returns how many dependencies between jobs were examined since the table was created, to propagate
+    // urgencies and cancellations.
+    [[nodiscard]] std::uint64_t dependency_steps() const { return dependency_steps_; }
+
     // Returns whether this version of the job's record, or a newer one, has been applied, or the job has
     // ended at this version or later.
     [[nodiscard]] bool has_version(const std::string& id, std::uint64_t version) const;
@@ -82,7 +101,8 @@
 
   private:
     void link_dependencies(const std::string& id, JobEntry& job);
-    void propagate_urgency(const std::string& id);
+    void inherit_from_dependents(const std::string& id, JobEntry& job);
+    void propagate_urgency();
     void cancel_dependents(const std::string& id);
     bool can_store_end(const std::string& id, const JobEntry& job, bool may_remove_cancelled) const;
 
@@ -90,6 +110,9 @@
     std::map<std::string, JobEntry> jobs_;
     DependencyGraph dependencies_;
     bool list_in_progress_ = false;
+    int open_batches_ = 0;
+    std::vector<std::string> changed_urgency_;  // ids of the jobs that have not propagated their urgency
+    std::uint64_t dependency_steps_ = 0;
     // Cancelled jobs whose records have not arrived, with the version since which they are cancelled.
     std::unordered_map<std::string, std::uint64_t> early_cancellations_;
     // Jobs that have ended, with the revision at which their end was stored.
--- a/src/leader/job_watcher.cpp
+++ b/src/leader/job_watcher.cpp
@@ -52,6 +52,7 @@
     bool any_new = false;
     {
         std::lock_guard lock(state_.mutex);
+        const jobs::JobTable::Batch batch(state_.jobs);
         for (auto& event : events)
             if (event.value) any_new |= apply_record(id_of(event.key), event.version, *event.value);
         state_.jobs.forget_ended_before(complete_revision);
@@ -64,6 +65,7 @@
     const event_loop::WorkScope work(timers_, "job_list", all.entries.size());
     {
         std::lock_guard lock(state_.mutex);
+        const jobs::JobTable::Batch batch(state_.jobs);
         for (auto& entry : all.entries) apply_record(id_of(entry.key), entry.version, entry.value);
     }
     callbacks_.jobs_changed();
@@ -145,6 +147,7 @@
 // jobs to `ids`. Returns the number of records that were applied.
 std::size_t JobWatcher::apply_unknown(const kv::ListResult& stored, std::set<std::string>& ids) {
     std::lock_guard lock(state_.mutex);
+    const jobs::JobTable::Batch batch(state_.jobs);
     std::size_t unknown = 0;
     for (auto& entry : stored.entries) {
         auto id = id_of(entry.key);
--- a/src/leader/recovery.cpp
+++ b/src/leader/recovery.cpp
@@ -36,13 +36,20 @@
         add_stored_machine(machine_id, record, stored.replica_eligible);
 }
 
-void Recovery::load_jobs(const failover::RecoveredState& stored) {
+// Returns the ids of all live jobs, including those whose records cannot be read.
+std::set<std::string> Recovery::load_job_records(const failover::RecoveredState& stored) {
+    const jobs::JobTable::Batch batch(state_.jobs);
     std::set<std::string> live;
     for (auto& entry : stored.jobs.entries) {
         auto job_id = entry.key.substr(keys::jobs.size());
         hooks_.apply_job_record(job_id, entry.version, entry.value);
         live.insert(std::move(job_id));
     }
+    return live;
+}
+
+void Recovery::load_jobs(const failover::RecoveredState& stored) {
+    auto live = load_job_records(stored);
     for (auto& entry : stored.progress.entries) {
         auto rest = entry.key.substr(keys::progress.size());
         auto slash = rest.find('/');
--- a/src/leader/recovery.hpp
+++ b/src/leader/recovery.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "failover/reconciliation.hpp"
@@ -74,6 +75,7 @@
   private:
     void apply_stored_state(const failover::RecoveredState& stored);
     void load_jobs(const failover::RecoveredState& stored);
+    std::set<std::string> load_job_records(const failover::RecoveredState& stored);
     void add_stored_machine(const std::string& machine_id, const protocol::MachineRecord& record,
                             bool replica_eligible);
     void restore_from_replica(cluster::Machine& machine);
