Plan executor: go through the instances on a machine once for each plan

Each start summed up all instances on its machine (Machine::free, has_instance_of_unknown_job), so a gang of n tasks on m machines took n * n / m steps.

Change: MachineCapacities sums up a machine once while the starts of a plan are applied, and is kept up to date with them.

Measured: the counted instances for a second gang of 10, 100 and 1,000 tasks are those of the first one; before, each start went through all of them.

--- a/src/leader/plan_executor.cpp
+++ b/src/leader/plan_executor.cpp
@@ -122,45 +122,46 @@
 }
 
 std::vector<PlannedStart> PlanExecutor::apply_starts(const Plan& plan) {
-    std::vector<PlannedStart> started;
     std::span<const scheduler::Start> starts = plan.out.starts;
     // Most plans start nothing, and summing up the usage of the teams iterates over the whole fleet.
-    if (starts.empty()) return started;
-    auto used = cluster::team_usage(state_.cluster, settings_.teams);
+    if (starts.empty()) return {};
+    AppliedStarts applied{cluster::team_usage(state_.cluster, settings_.teams), {}, {}};
     for (std::size_t first = 0; first < starts.size();) {
         auto count = group_size(plan, first);
         auto attempt = parts_.attempts.next();
         if (!attempt) break;  // attempt numbers are used up; a later plan starts the remaining tasks
-        start_group(plan, starts.subspan(first, count), *attempt, used, started);
+        start_group(plan, starts.subspan(first, count), *attempt, applied);
         first += count;
     }
-    return started;
+    instances_examined_ += applied.capacities.instances_examined();
+    return std::move(applied.started);
 }
 
 void PlanExecutor::start_group(const Plan& plan, std::span<const scheduler::Start> group,
-                               protocol::AttemptNumber attempt, TeamUsage& used,
-                               std::vector<PlannedStart>& started) {
+                               protocol::AttemptNumber attempt, AppliedStarts& applied) {
     auto& planned = *plan.in.jobs[group.front().job].spec;
     auto* job = state_.jobs.find(planned.id);
     auto* team = job ? find_team(*job) : nullptr;
     if (!team || (planned.kind == JobKind::gang && !job->active.empty())) return;
     auto& spec = *job->spec;
+    auto& used = applied.used[spec.team];
     auto zones = zone_counts(*job, state_.cluster.zone_count());
     std::vector<PlacedInstance> placed;
     for (auto& start : group) {
         auto* machine = state_.cluster.find(plan.in.machines[start.machine].id);
         // No command has been sent for the group yet, so a gang is started either as a whole or not at all.
-        if (!machine || !may_start(*job, start.task, *machine, zones) ||
-            !scheduler::team_allows(*team, used[spec.team], spec.request))
-            return undo_placements(*job, placed, used);
-        used[spec.team] += spec.request;
+        if (!machine || !may_start(*job, start.task, *machine, zones, applied.capacities) ||
+            !scheduler::team_allows(*team, used, spec.request))
+            return undo_placements(*job, placed, applied);
+        used += spec.request;
+        applied.capacities.take(*machine, spec.request);
         state_.cluster.place(*machine, {spec.id, start.task}, job->spec, attempt, now());
         job->active[start.task] = {machine->id, attempt, state_.zone_of(*machine)};
         ++zones[state_.zone_of(*machine)];
         placed.push_back({machine, start.task});
     }
     for (auto& [machine, task] : placed) {
-        started.push_back({machine->id, {spec.id, task}});
+        applied.started.push_back({machine->id, {spec.id, task}});
         parts_.team_activity.started(spec.team);
         spdlog::debug("component=leader event=task_placed task={}/{} attempt={} machine={}", spec.id, task,
                       attempt, machine->id);
@@ -168,11 +169,12 @@
 }
 
 void PlanExecutor::undo_placements(jobs::JobEntry& job, std::span<const PlacedInstance> placed,
-                                   TeamUsage& used) {
+                                   AppliedStarts& applied) {
     for (auto& [machine, task] : placed) {
         machine->tasks.erase({job.spec->id, task});
         job.active.erase(task);
-        used[job.spec->team] -= job.spec->request;
+        applied.used[job.spec->team] -= job.spec->request;
+        applied.capacities.give_back(*machine, job.spec->request);
     }
 }
 
@@ -183,12 +185,12 @@
 }
 
 bool PlanExecutor::may_start(const jobs::JobEntry& job, std::uint32_t task, const Machine& machine,
-                             const scheduler::ZoneCounts& zones) const {
+                             const scheduler::ZoneCounts& zones, MachineCapacities& capacities) const {
     auto& spec = *job.spec;
     bool waits = !job.cancelled && !job.is_blocked() && job.orphaned_instances == 0 && !job.is_done(task) &&
                  !job.active.contains(task);
-    return waits && machine.usable(now()) && !machine.has_instance_of_unknown_job() &&
-           !machine.tasks.contains({spec.id, task}) && machine.free().fits(spec.request) &&
+    return waits && machine.usable(now()) && !machine.tasks.contains({spec.id, task}) &&
+           capacities.fits(machine, spec.request) &&
            scheduler::type_allowed(spec, machine.type, machine.zone, machine.spot) &&
            scheduler::zone_allowed(spec, zones, state_.zone_of(machine));
 }
--- a/src/leader/plan_executor.hpp
+++ b/src/leader/plan_executor.hpp
@@ -25,6 +25,7 @@
 #include "leader/attempt_numbers.hpp"
 #include "leader/fleet_scaler.hpp"
 #include "leader/leader_part.hpp"
+#include "leader/machine_capacities.hpp"
 #include "leader/planner.hpp"
 #include "metrics/metrics.hpp"
 #include "protocol/model.hpp"
@@ -70,6 +71,8 @@
     // Begins a plan as soon as the minimum interval since the beginning of the last plan has passed. Further
     // requests before then have no effect.
     void request_plan();
+    // Returns how many instances on machines were gone through so far to find room for starts.
+    [[nodiscard]] std::uint64_t instances_examined() const { return instances_examined_; }
 
   private:
     // One plan: the snapshots that it is computed from, and its decisions.
@@ -83,6 +86,12 @@
         autoscaler::Decisions fleet_out;
     };
     using TeamUsage = std::map<std::string, protocol::Resources>;
+    // The starts of a plan that is being applied, and what they leave to the teams and on the machines.
+    struct AppliedStarts {
+        TeamUsage used;
+        MachineCapacities capacities;
+        std::vector<PlannedStart> started;
+    };
     // An instance that the plan being applied has added to the cluster state and the job table.
     struct PlacedInstance {
         cluster::Machine* machine = nullptr;
@@ -105,17 +114,20 @@
     [[nodiscard]] static std::size_t group_size(const Plan& plan, std::size_t first);
     // Adds all starts of the group to the state, or none of them.
     void start_group(const Plan& plan, std::span<const scheduler::Start> group,
-                     protocol::AttemptNumber attempt, TeamUsage& used, std::vector<PlannedStart>& started);
-    static void undo_placements(jobs::JobEntry& job, std::span<const PlacedInstance> placed, TeamUsage& used);
+                     protocol::AttemptNumber attempt, AppliedStarts& applied);
+    static void undo_placements(jobs::JobEntry& job, std::span<const PlacedInstance> placed,
+                                AppliedStarts& applied);
     [[nodiscard]] const config::Team* find_team(const jobs::JobEntry& job) const;
     [[nodiscard]] bool may_start(const jobs::JobEntry& job, std::uint32_t task,
-                                 const cluster::Machine& machine, const scheduler::ZoneCounts& zones) const;
+                                 const cluster::Machine& machine, const scheduler::ZoneCounts& zones,
+                                 MachineCapacities& capacities) const;
     void log_plan(const Plan& plan) const;
     void count_draws(const scheduler::PlanCounts& counts);
 
     Parts parts_;
     Callbacks callbacks_;
     std::mt19937_64 random_;
+    std::uint64_t instances_examined_ = 0;
     bool requested_ = false;              // a timer that begins a plan is set
     bool computing_ = false;              // a plan was submitted to the planner and has not been applied
     double last_plan_s_ = 0;              // time from the beginning of the last plan to its result, seconds
--- a/tests/leader/plan_executor_test.cpp
+++ b/tests/leader/plan_executor_test.cpp
@@ -128,6 +128,23 @@
     EXPECT_EQ(bench.started.size(), 2u);
 }
 
+// Guards against turns of the event loop that grow with the square of a gang: each start went through all
+// instances on its machine.
+TEST(PlanExecutor, GoesThroughTheInstancesOnAMachineOnceForAllStartsOfAPlan) {
+    for (std::uint32_t tasks : {10, 100, 1000}) {
+        Bench bench;
+        for (auto& [id, machine] : bench.state->cluster.machines()) machine.total = {16, 0, 10000};
+        for (auto* id : {"j-000001", "j-000002"}) {
+            bench.add_gang(id, tasks, 0.001);
+            bench.plan();
+            bench.planner.apply();
+            ASSERT_EQ(bench.started.size(), tasks);
+        }
+        EXPECT_EQ(bench.executor.instances_examined(), tasks)
+            << "those of the first gang, for the second one";
+    }
+}
+
 TEST(PlanExecutor, AppliesNothingOnceTheLeadershipHasEnded) {
     Bench bench;
     bench.add_job("j-000001", 3);
