Gangs: the end of each task no longer goes through the whole gang

A machine with k tasks of a gang of n took k * n steps in one turn of the event loop under the lock; an expired zone, or a preemption notice, the same for each machine.

Change: the rest of a gang is stopped, and all its tasks are marked as done, with the first end only. A task that is found or started later clears that mark (JobEntry::active_instances_stopped), so the next end stops it, as before. A reported exit whose outcome is stored is looked up on its own machine. A preemption notice stops each gang once.

--- a/src/cluster/cluster_state.cpp
+++ b/src/cluster/cluster_state.cpp
@@ -131,14 +131,29 @@
     stop(machine, task, 0);
 }
 
+namespace {
+void mark_outcomes_stored(Machine& machine, const std::string& job, const std::set<std::uint32_t>& tasks) {
+    auto& attempts = machine.exited_attempts;
+    for (auto exit = attempts.lower_bound({{job, 0}, {}});
+         exit != attempts.end() && exit->first.task.job == job; ++exit)
+        if (tasks.empty() || tasks.contains(exit->first.task.index)) exit->second.outcome_stored = true;
+}
+}  // namespace
+
+void ClusterState::record_outcome_stored(const std::string& machine_id, const protocol::TaskId& task) {
+    auto* machine = find(machine_id);
+    if (!machine) return;
+    auto& attempts = machine->exited_attempts;
+    for (auto exit = attempts.lower_bound({task, {}}); exit != attempts.end() && exit->first.task == task;
+         ++exit)
+        exit->second.outcome_stored = true;
+}
+
 void ClusterState::record_outcome_stored(const std::string& job, const std::set<std::uint32_t>& tasks) {
     auto holders = machines_with_unstored_exits_.find(job);
     if (holders == machines_with_unstored_exits_.end()) return;
     for (auto& id : holders->second)
-        if (auto* machine = find(id))
-            for (auto& [attempt, exited] : machine->exited_attempts)
-                if (attempt.task.job == job && (tasks.empty() || tasks.contains(attempt.task.index)))
-                    exited.outcome_stored = true;
+        if (auto* machine = find(id)) mark_outcomes_stored(*machine, job, tasks);
     if (tasks.empty()) machines_with_unstored_exits_.erase(holders);
 }
 
--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -92,6 +92,8 @@
     // Notes that the outcome of these exited tasks is in the key-value store, so their agents may forget
     // them. An empty `tasks` means all tasks of the job.
     void record_outcome_stored(const std::string& job, const std::set<std::uint32_t>& tasks = {});
+    // Notes the same for the exits of one task on one machine.
+    void record_outcome_stored(const std::string& machine_id, const protocol::TaskId& task);
 
     // --- Commands; see MachineCommands ---
     std::vector<protocol::Command> reply_commands(Machine& machine, double now, bool authority);
--- a/src/jobs/job_entry.hpp
+++ b/src/jobs/job_entry.hpp
@@ -53,6 +53,8 @@
     std::uint32_t done_count = 0;                // number of tasks set in `done`
     std::uint32_t first_unfinished_task = 0;     // all tasks before it are done
     std::map<std::uint32_t, ActiveTask> active;  // by task index
+    // All instances in `active` were asked to stop because the gang has lost a task.
+    bool active_instances_stopped = false;
     // Number of instances of the job's tasks that are not in `active` and have no evidence that they have
     // terminated. While there are any, no task of the job may start.
     int orphaned_instances = 0;
--- a/src/leader/instance_tracker.cpp
+++ b/src/leader/instance_tracker.cpp
@@ -50,6 +50,7 @@
 // whenever its status came second.
 void InstanceTracker::record_location(jobs::JobEntry& job, const protocol::TaskId& task, Machine& machine,
                                       protocol::AttemptNumber attempt) {
+    job.active_instances_stopped = false;
     auto [active, inserted] =
         job.active.try_emplace(task.index, jobs::ActiveTask{machine.id, attempt, state_.zone_of(machine)});
     if (inserted || active->second.machine == machine.id) return;
@@ -87,7 +88,7 @@
     if (end.task.index >= job->spec->tasks) return;
     if (end.cause == ExitCause::done && job->spec->kind != JobKind::service)
         return handle_task_done(*job, end);
-    if (end.cause == ExitCause::done) state_.cluster.record_outcome_stored(end.task.job, {end.task.index});
+    if (end.cause == ExitCause::done) state_.cluster.record_outcome_stored(end.machine, end.task);
     if (was_active) handle_task_lost(*job, end);
 }
 
@@ -106,17 +107,21 @@
 // The tasks of a gang complete together: if one is done, all are.
 void InstanceTracker::handle_task_done(jobs::JobEntry& job, const cluster::InstanceEnd& end) {
     auto done_before = job.done_count;
-    if (job.spec->kind == JobKind::gang) {
-        for (std::uint32_t task = 0; task < job.spec->tasks; ++task) job.mark_done(task);
-    } else {
+    if (job.spec->kind != JobKind::gang)
         job.mark_done(end.task.index);
-    }
+    else if (!job.all_done())
+        mark_gang_done(job);
     team_activity_.completed(job.spec->team, job.done_count - done_before);
     job.consecutive_failures = 0;
     job.backoff_until = 0;
     if (auto* machine = state_.cluster.find(end.machine)) machine->jobs_with_failed_tasks.clear();
     if (job.is_done(end.task.index) && !job.unstored_tasks.contains(end.task.index))
-        state_.cluster.record_outcome_stored(end.task.job, {end.task.index});
+        state_.cluster.record_outcome_stored(end.machine, end.task);
+}
+
+void InstanceTracker::mark_gang_done(jobs::JobEntry& job) {
+    tasks_examined_ += job.spec->tasks;
+    for (std::uint32_t task = 0; task < job.spec->tasks; ++task) job.mark_done(task);
 }
 
 // Handles the end of an active task that is not done: decides when the task may be started again, and stops
@@ -142,8 +147,14 @@
     }
     // If a gang loses a task, all of its tasks are stopped. Its next attempt starts when all tasks of the old
     // one have terminated.
-    if (job.spec->kind == JobKind::gang && !job.all_done())
-        stop_active(end.task.job, job, scheduler::checkpoint_grace_s(*job.spec));
+    if (job.spec->kind == JobKind::gang && !job.all_done()) stop_rest_of_gang(end.task.job, job);
+}
+
+// Stops the active tasks only at the end of the first one, because all the others end as well, each with a
+// call of this function.
+void InstanceTracker::stop_rest_of_gang(const std::string& job_id, jobs::JobEntry& job) {
+    if (std::exchange(job.active_instances_stopped, true)) return;
+    stop_active(job_id, job, scheduler::checkpoint_grace_s(*job.spec));
 }
 
 // Handles a task that exited with an error. The first failures are attributed to the machine, and the task is
@@ -183,6 +194,7 @@
 }
 
 void InstanceTracker::stop_active(const std::string& job_id, jobs::JobEntry& job, double grace_s) {
+    tasks_examined_ += job.active.size();
     for (auto& [task, active] : job.active)
         if (auto* machine = state_.cluster.find(active.machine))
             state_.cluster.stop(*machine, {job_id, task}, grace_s);
@@ -192,6 +204,7 @@
 // deadline is derived from. A cancellation that it learns now was committed later, so the machine's lease may
 // be renewed only until that deadline while the agent may not have received the stop.
 void InstanceTracker::cancel_active(const std::string& job_id, jobs::JobEntry& job) {
+    tasks_examined_ += job.active.size();
     for (auto& [task, active] : job.active)
         if (auto* machine = state_.cluster.find(active.machine))
             state_.cluster.cancel(*machine, {job_id, task}, authority_.lease_renewal_deadline());
--- a/src/leader/instance_tracker.hpp
+++ b/src/leader/instance_tracker.hpp
@@ -7,6 +7,7 @@
 //
 // Runs on the event loop's thread. The caller holds LeaderState::mutex during every call.
 #pragma once
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -40,19 +41,24 @@
     void stop_active(const std::string& job_id, jobs::JobEntry& job, double grace_s);
     // Stops all active tasks of a cancelled job, without time to save a checkpoint.
     void cancel_active(const std::string& job_id, jobs::JobEntry& job);
+    // Returns how many tasks of jobs were gone through so far, beside those that the calls named.
+    [[nodiscard]] std::uint64_t tasks_examined() const { return tasks_examined_; }
 
   private:
     void record_location(jobs::JobEntry& job, const protocol::TaskId& task, cluster::Machine& machine,
                          protocol::AttemptNumber attempt);
     bool clear_location(jobs::JobEntry& job, const cluster::InstanceEnd& end);
     void handle_task_done(jobs::JobEntry& job, const cluster::InstanceEnd& end);
+    void mark_gang_done(jobs::JobEntry& job);
     void handle_task_lost(jobs::JobEntry& job, const cluster::InstanceEnd& end);
+    void stop_rest_of_gang(const std::string& job_id, jobs::JobEntry& job);
     void handle_task_failed(jobs::JobEntry& job, const cluster::InstanceEnd& end);
     void quarantine(cluster::Machine& machine, const std::string& job_id);
 
     metrics::Metrics& metrics_;
     cluster::TeamActivity& team_activity_;
     MarkForDeletion mark_for_deletion_;
+    std::uint64_t tasks_examined_ = 0;
 };
 
 }  // namespace coralhitch::leader
--- a/src/leader/machine_supervisor.cpp
+++ b/src/leader/machine_supervisor.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "scheduler/scheduler.hpp"
@@ -223,12 +224,13 @@
         if (instance.spec && instance.confirmed && !instance.stop_requested &&
             (instance.spec->checkpoint_interval_s > 0 || instance.spec->kind == JobKind::service))
             stops.push_back({task, std::min(scheduler::checkpoint_grace_s(*instance.spec), left_s)});
+    std::set<std::string> stopped_gangs;
     for (auto& [task, grace_s] : stops) {
         auto* job = state_.jobs.find(task.job);
-        if (job && job->spec->kind == JobKind::gang)
-            parts_.instances.stop_active(task.job, *job, grace_s);
-        else
+        if (!job || job->spec->kind != JobKind::gang)
             state_.cluster.stop(machine, task, grace_s);
+        else if (stopped_gangs.insert(task.job).second)
+            parts_.instances.stop_active(task.job, *job, grace_s);
     }
     if (!stops.empty())
         spdlog::info("component=leader event=preemption_notice machine={} stopped_tasks={}", machine.id,
--- a/src/leader/plan_executor.cpp
+++ b/src/leader/plan_executor.cpp
@@ -156,6 +156,7 @@
         used += spec.request;
         applied.capacities.take(*machine, spec.request);
         state_.cluster.place(*machine, {spec.id, start.task}, job->spec, attempt, now());
+        job->active_instances_stopped = false;
         job->active[start.task] = {machine->id, attempt, state_.zone_of(*machine)};
         ++zones[state_.zone_of(*machine)];
         placed.push_back({machine, start.task});
--- a/tests/leader/instance_tracker_test.cpp
+++ b/tests/leader/instance_tracker_test.cpp
@@ -81,6 +81,53 @@
     EXPECT_TRUE(job.active.contains(1)) << "it stays active until there is evidence that it has terminated";
 }
 
+// A gang of `tasks` tasks on two machines.
+struct GangBench : Bench {
+    explicit GangBench(std::uint32_t tasks) : job(add_job("j-1", tasks)) {
+        auto gang = std::make_shared<protocol::Job>(*job.spec);
+        gang->kind = protocol::JobKind::gang;
+        job.spec = gang;
+        for (std::uint32_t task = 0; task < tasks; ++task) show("j-1", *machines[task % 2], task, 5);
+    }
+    std::vector<cluster::Machine*> machines{&add_machine("vm-1"), &add_machine("vm-2")};
+    jobs::JobEntry& job;
+    void end_all(ExitCause cause) {
+        for (std::uint32_t task = 0; task < job.spec->tasks; ++task)
+            end("j-1", *machines[task % 2], task, cause);
+    }
+};
+
+// Guards against turns of the event loop that grow with the square of a gang: the end of each task went
+// through all tasks of the gang again.
+TEST(InstanceTracker, GoesThroughTheTasksOfAGangOnceHoweverManyOfThemEnd) {
+    for (std::uint32_t tasks : {10, 100, 1000})
+        for (auto cause : {ExitCause::done, ExitCause::gang_member_lost}) {
+            GangBench bench(tasks);
+            bench.end_all(cause);
+            EXPECT_LE(bench.tracker.tasks_examined(), tasks);
+            EXPECT_EQ(bench.job.all_done(), cause == ExitCause::done);
+            EXPECT_TRUE(bench.job.active.empty());
+        }
+}
+
+// An instance may be found after the rest of its gang was stopped, as when a machine has not reported to a
+// new leader.
+TEST(InstanceTracker, StopsATaskThatIsFoundAfterTheRestOfItsGangWasStopped) {
+    Bench bench;
+    auto& job = bench.add_job("j-1", 3);
+    auto gang = std::make_shared<protocol::Job>(*job.spec);
+    gang->kind = protocol::JobKind::gang;
+    job.spec = gang;
+    auto& first = bench.add_machine("vm-1");
+    auto& second = bench.add_machine("vm-2");
+    bench.show("j-1", first, 0, 5);
+    bench.show("j-1", first, 1, 5);
+    bench.end("j-1", first, 0, ExitCause::unknown);
+    auto& found_later = bench.show("j-1", second, 2, 5);
+    bench.end("j-1", first, 1, ExitCause::gang_member_lost);
+    EXPECT_TRUE(found_later.stop_requested);
+}
+
 TEST(InstanceTracker, ARepeatedEndOfAnOldAttemptDoesNotEndTheNextOne) {
     Bench bench;
     auto& job = bench.add_job("j-1", 1);
