Live jobs: search the dependencies of all reads of a batch at once

All queries of a pipeline of n jobs that were answered together took n * n / 2 steps in one turn of the event loop, at every controller, and their reads of outcomes as many callbacks.

Change: LiveJobs marks the jobs that depend on an unknown outcome once for a batch (ReadResult::undecided). JobReader collects the undecided reads of a batch, finds the outcomes that they need with one search, reads each once, and repeats the reads.

The fixture of the tests asks for the unresolved dependency of an undecided job instead of finding it in the result; what is compared is unchanged.

Measured: at most one step for each dependency and batch, with all jobs of chains of 10, 100 and 1,000 queried at once.

--- a/src/api/job_reader.cpp
+++ b/src/api/job_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -24,7 +25,8 @@
 }  // namespace
 
 JobReader::JobReader(event_loop::Timers& timers, kv::KvClient& kv, const config::Settings& settings)
-    : kv_(kv),
+    : timers_(timers),
+      kv_(kv),
       settings_(settings),
       live_jobs_(timers, kv, settings, [this](const std::string& id, const std::string& record) {
           try {
@@ -65,28 +67,47 @@
     live_jobs_.read(id, [this, id, done, priority, attempt](const LiveJobs::ReadResult& result) {
         if (!result.ok) return done(ReadFailed{});
         if (!result.live) return read_final(id, done, priority);
-        if (!result.unresolved_dependencies.empty())
-            return resolve_dependencies(id, result.unresolved_dependencies, done, priority, attempt);
+        if (result.undecided) return resolve_later({id, done, priority, attempt});
         done(*result.live);
     });
 }
 
-// Reads the final records of dependencies whose outcome decides whether the job is cancelled, and then reads
-// the job again. Each final record is read once for all jobs that depend on it.
-void JobReader::resolve_dependencies(const std::string& id, const std::vector<std::string>& dependencies,
-                                     const Callback& done, kv::RequestPriority priority, int attempt) {
+// Collects the reads of one batch, which are answered one after the other in this turn of the event loop, so
+// that their dependencies are searched together.
+void JobReader::resolve_later(UndecidedRead read) {
+    undecided_reads_.push_back(std::move(read));
+    if (undecided_reads_.size() > 1) return;
+    timers_.after(0, [this] { resolve_dependencies(std::exchange(undecided_reads_, {})); });
+}
+
+// Reads the final records of dependencies whose outcome decides whether the jobs are cancelled, and then
+// reads the jobs again. Each final record is read once for all jobs that depend on it.
+void JobReader::resolve_dependencies(const UndecidedReads& reads) {
+    std::vector<std::string> ids;
+    auto priority = kv::RequestPriority::background;
+    for (auto& read : reads) {
+        ids.push_back(read.id);
+        priority = std::min(priority, read.priority);
+    }
+    auto dependencies = live_jobs_.unresolved_dependencies_of(ids);
+    if (dependencies.empty()) return repeat_reads(reads);  // they were resolved since
     auto remaining = std::make_shared<std::size_t>(dependencies.size());
+    auto waiting = std::make_shared<const UndecidedReads>(reads);
     for (auto& dependency : dependencies)
         read_final(
             dependency,
-            [this, id, dependency, done, priority, attempt, remaining](const JobReadResult& result) {
+            [this, dependency, remaining, waiting](const JobReadResult& result) {
                 if (auto* record = std::get_if<protocol::FinalRecord>(&result))
                     live_jobs_.apply_outcome(dependency, record->state);
-                if (--*remaining == 0) read_attempt(id, done, priority, attempt + 1);
+                if (--*remaining == 0) repeat_reads(*waiting);
             },
             priority);
 }
 
+void JobReader::repeat_reads(const UndecidedReads& reads) {
+    for (auto& [id, done, priority, attempt] : reads) read_attempt(id, done, priority, attempt + 1);
+}
+
 // Keeps at most one read in flight for each job, because hundreds of jobs of a long pipeline may depend on
 // how the same job ended. A final record never changes, so callbacks that joined while the request was in
 // flight get it too. The result "no final record" goes only to callbacks that were added before the request
--- a/src/api/job_reader.hpp
+++ b/src/api/job_reader.hpp
@@ -61,19 +61,30 @@
         std::vector<Callback> waiting;  // callbacks that were added before the request was sent
         std::vector<Callback> joined;   // callbacks that were added while the request was in flight
     };
+    // Read of one job that needs the outcomes of dependencies.
+    struct UndecidedRead {
+        std::string id;
+        Callback done;
+        kv::RequestPriority priority;
+        int attempt;
+    };
+    using UndecidedReads = std::vector<UndecidedRead>;
     void read_attempt(const std::string& id, const Callback& done, kv::RequestPriority priority, int attempt);
-    void resolve_dependencies(const std::string& id, const std::vector<std::string>& dependencies,
-                              const Callback& done, kv::RequestPriority priority, int attempt);
+    void resolve_later(UndecidedRead read);
+    void resolve_dependencies(const UndecidedReads& reads);
+    void repeat_reads(const UndecidedReads& reads);
     void send_final_read(const std::string& id, kv::RequestPriority priority);
     JobReadResult parse_final(const std::string& id, const kv::GetResult& result);
     void cache_final_record(const std::string& id, const protocol::FinalRecord& record);
 
+    event_loop::Timers& timers_;
     kv::KvClient& kv_;
     const config::Settings& settings_;
     LiveJobs live_jobs_;
     std::unordered_map<std::string, protocol::FinalRecord> final_records_;
     std::deque<std::string> final_record_order_;  // ids in `final_records_`, the oldest entry first
     std::unordered_map<std::string, FinalRead> final_reads_;  // reads in flight, by job
+    UndecidedReads undecided_reads_;                          // whose dependencies are resolved next
 };
 
 }  // namespace coralhitch::api
--- a/src/api/live_jobs.cpp
+++ b/src/api/live_jobs.cpp
@@ -3,7 +3,6 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "kv/keys.hpp"
@@ -119,12 +118,13 @@
 void LiveJobs::answer(const Batch& batch, bool ok) {
     const event_loop::WorkScope work(timers_, "job_reads", batch.size());
     request_in_flight_ = false;
+    const auto undecided = undecided_jobs();
     for (auto& read : batch) {
         auto* job = cached(read.id);
         if (!ok || !job)
-            read.done({ok, {}, {}});
+            read.done({ok, {}, false});
         else
-            read.done({true, *job, unresolved_dependencies_of(read.id)});
+            read.done({true, *job, undecided.contains(read.id)});
     }
     schedule_request();
 }
@@ -171,8 +171,10 @@
 }
 
 void LiveJobs::cancel_dependents(const std::string& id) {
-    dependencies_.visit_dependents(
-        id, [&](auto& dependent) { return !std::exchange(jobs_.at(dependent).cancelled, true); });
+    dependencies_.visit_dependents(id, [&](auto& dependent) {
+        ++dependency_steps_;
+        return !std::exchange(jobs_.at(dependent).cancelled, true);
+    });
 }
 
 void LiveJobs::apply_outcome(const std::string& id, protocol::JobState state) {
@@ -181,16 +183,28 @@
     for (auto& dependent : dependencies_.resolve(id)) std::erase(jobs_.at(dependent).dependencies, id);
 }
 
-// Searches the direct and transitive dependencies of a job for unresolved ones. The search ends at once if
-// there are no unresolved dependencies at all, which is the usual case.
-std::vector<std::string> LiveJobs::unresolved_dependencies_of(const std::string& id) const {
-    std::vector<std::string> stack{id}, unresolved;
-    std::set<std::string> visited{id};
+// Returns the direct and transitive dependents of unresolved jobs, but not through jobs that are cancelled
+// anyway. Computed once for all reads of a batch: a search for each read took time that grew with the square
+// of a pipeline whose jobs were all queried.
+std::unordered_set<std::string> LiveJobs::undecided_jobs() {
+    std::unordered_set<std::string> undecided;
+    for (auto& id : dependencies_.unresolved())
+        dependencies_.visit_dependents(id, [&](auto& dependent) {
+            ++dependency_steps_;
+            return !jobs_.at(dependent).cancelled && undecided.insert(dependent).second;
+        });
+    return undecided;
+}
+
+std::vector<std::string> LiveJobs::unresolved_dependencies_of(const std::vector<std::string>& ids) {
+    std::vector<std::string> stack = ids, unresolved;
+    std::unordered_set<std::string> visited(ids.begin(), ids.end());
     while (!dependencies_.unresolved().empty() && !stack.empty()) {
-        auto* job = cached(stack.back());
+        auto* job = cached(std::exchange(stack.back(), {}));
         stack.pop_back();
         if (!job || job->cancelled) continue;
         for (auto& dependency : job->dependencies) {
+            ++dependency_steps_;
             if (!visited.insert(dependency).second) continue;
             if (dependencies_.unresolved().contains(dependency))
                 unresolved.push_back(dependency);
--- a/src/api/live_jobs.hpp
+++ b/src/api/live_jobs.hpp
@@ -19,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "config/settings.hpp"
@@ -44,9 +45,9 @@
     struct ReadResult {
         bool ok = false;              // false if the key-value store did not answer; the rest is empty then
         std::optional<LiveJob> live;  // empty if the job is not live
-        // Direct or transitive dependencies that are not live and whose outcome decides whether this job is
-        // cancelled. The caller passes their outcomes to `apply_outcome` and reads the job again.
-        std::vector<std::string> unresolved_dependencies;
+        // True if it depends on outcomes that are not known whether the job is cancelled. The caller gets
+        // them from `unresolved_dependencies_of`, passes them to `apply_outcome` and reads the job again.
+        bool undecided = false;
     };
     using ReadCallback = std::function<void(ReadResult)>;
     // Receives the final record of a job as it is stored. The call comes before the answers to the reads
@@ -61,6 +62,9 @@
     // Applies the outcome of an ended job, which never changes, to its dependents. Has no effect unless the
     // outcome is unresolved.
     void apply_outcome(const std::string& id, protocol::JobState state);
+    // Returns the direct or transitive dependencies of these jobs that are not live and whose outcome decides
+    // whether one of the jobs is cancelled.
+    [[nodiscard]] std::vector<std::string> unresolved_dependencies_of(const std::vector<std::string>& ids);
     // Sends a request if the last one was sent more than half an agent lease ago, so that the store still
     // keeps the changes since the revision of the copy. Must be called regularly. Does nothing before the
     // first read.
@@ -75,6 +79,8 @@
     // Returns the number of requests sent since the process began. A list counts as one request, whatever its
     // number of pages.
     [[nodiscard]] std::uint64_t request_count() const { return request_count_; }
+    // Returns how many dependencies between jobs were examined since the process began.
+    [[nodiscard]] std::uint64_t dependency_steps() const { return dependency_steps_; }
 
   private:
     // Read that waits for an answer of the key-value store.
@@ -93,7 +99,7 @@
     void apply_entry(const std::string& key, std::uint64_t version, const std::string* value);
     void remove(const std::string& id);
     void cancel_dependents(const std::string& id);
-    std::vector<std::string> unresolved_dependencies_of(const std::string& id) const;
+    std::unordered_set<std::string> undecided_jobs();
 
     event_loop::Timers& timers_;
     kv::KvClient& kv_;
@@ -102,7 +108,7 @@
     std::unordered_map<std::string, LiveJob> jobs_;
     jobs::DependencyGraph dependencies_;
     std::uint64_t revision_ = 0;  // revision of the copy; 0 if all jobs must be listed first
-    std::uint64_t read_count_ = 0, request_count_ = 0;
+    std::uint64_t read_count_ = 0, request_count_ = 0, dependency_steps_ = 0;
     Batch pending_reads_;
     bool request_in_flight_ = false, request_scheduled_ = false;
     std::optional<double> last_request_at_;    // steady seconds
--- a/tests/api/live_jobs_test.cpp
+++ b/tests/api/live_jobs_test.cpp
@@ -78,11 +78,10 @@
 
     LiveJobsFixture() { kv_store.put("j-100", false); }
     void read(const std::string& id) {
-        live.read(id, [this](LiveJobs::ReadResult result) {
-            answers.push_back(!result.ok     ? "no answer"
-                              : !result.live ? "not live"
-                              : !result.unresolved_dependencies.empty()
-                                  ? "depends on " + result.unresolved_dependencies[0]
+        live.read(id, [this, id](LiveJobs::ReadResult result) {
+            answers.push_back(!result.ok         ? "no answer"
+                              : !result.live     ? "not live"
+                              : result.undecided ? "depends on " + live.unresolved_dependencies_of({id}).at(0)
                               : result.live->cancelled ? "cancelled"
                                                        : "live");
         });
@@ -263,5 +262,29 @@
     EXPECT_EQ(fixture.answers, (std::vector<std::string>{"live", "cancelled", "cancelled"}));
 }
 
+// Guards against turns of the event loop that grow with the square of a pipeline: each query searched all
+// dependencies of its job as long as the outcome of one was unknown.
+TEST(LiveJobs, ExaminesEachDependencyOnceForAllReadsOfABatch) {
+    for (int chain_length : {10, 100, 1000}) {
+        LiveJobsFixture fixture;
+        auto id = [](int k) { return "j-" + std::to_string(k); };
+        for (int k = 0; k < chain_length; ++k)
+            fixture.kv_store.put(id(k), false, k > 0 ? std::vector{id(k - 1)} : std::vector<std::string>{});
+        fixture.kv_store.drop(id(0));  // its outcome is unknown
+        std::vector<std::string> all;
+        for (int k = 1; k < chain_length; ++k) {
+            fixture.live.read(id(k), [&](const LiveJobs::ReadResult& result) {
+                if (result.undecided) all.push_back("undecided");
+            });
+        }
+        fixture.timers.run_until(1);
+        EXPECT_EQ(all.size(), static_cast<std::size_t>(chain_length - 1));
+        constexpr std::uint64_t batches = 2;  // the first read does not wait for others
+        EXPECT_LE(fixture.live.dependency_steps(), batches * static_cast<std::uint64_t>(chain_length));
+        EXPECT_EQ(fixture.live.unresolved_dependencies_of({id(1), id(chain_length - 1)}),
+                  std::vector<std::string>{id(0)});
+    }
+}
+
 }  // namespace
 }  // namespace coralhitch::api
