Simulated cluster: scenarios submit a pipeline, and dependency steps are checked

Change: each scenario submits a pipeline drawn from its seed: a chain, a ladder of main and side jobs, or wide stages; ids in submitted, reversed or random order, or side jobs first; estimates that shrink, stay or grow by up to 3 from stage to stage; a deadline on the last job; a quarter of them has a job cancelled. The estimate no longer has to be the run time (field run_s, which controllers ignore). Every 4 s the simulation reads the leader's new counter coralhitch_leader_dependency_steps_total and reports more than four steps for each dependency and change.

--- a/src/leader/leader_report.cpp
+++ b/src/leader/leader_report.cpp
@@ -17,6 +17,7 @@
         std::count_if(jobs.begin(), jobs.end(), [](auto& entry) { return entry.second.is_blocked(); });
     metrics_.set(Metric::leader_jobs, static_cast<double>(jobs.size()));
     metrics_.set(Metric::leader_jobs_with_pending_dependencies, static_cast<double>(blocked));
+    metrics_.set(Metric::leader_dependency_steps, static_cast<double>(state_.jobs.dependency_steps()));
     metrics_.set(Metric::leader_machines, static_cast<double>(state_.cluster.machines().size()));
 }
 
--- a/src/metrics/metric_definitions.cpp
+++ b/src/metrics/metric_definitions.cpp
@@ -26,6 +26,8 @@
      "Live jobs in the leader's job table", legacy_current("jobs")},
     {Metric::leader_jobs_with_pending_dependencies, gauge, "coralhitch_leader_jobs_with_pending_dependencies", "",
      "Live jobs that wait for other jobs to end", legacy_current("awaiting")},
+    {Metric::leader_dependency_steps, counter, "coralhitch_leader_dependency_steps_total", "",
+     "Dependencies between jobs that were examined to propagate urgencies and cancellations", no_legacy_series},
     {Metric::leader_unstored_job_ends, gauge, "coralhitch_leader_unstored_job_ends", "",
      "Finished jobs whose final record is not stored yet", legacy_current("ends_waiting")},
     {Metric::leader_cancelled_jobs_to_remove, gauge, "coralhitch_leader_cancelled_jobs_to_remove", "",
--- a/src/metrics/metric_definitions.hpp
+++ b/src/metrics/metric_definitions.hpp
@@ -13,6 +13,7 @@
     // Set by the leader. They keep their last values on a controller that has stopped leading.
     leader_jobs,
     leader_jobs_with_pending_dependencies,
+    leader_dependency_steps,
     leader_unstored_job_ends,
     leader_cancelled_jobs_to_remove,
     leader_machines,
--- a/tests/metrics/metrics_test.cpp
+++ b/tests/metrics/metrics_test.cpp
@@ -22,6 +22,7 @@
     {Metric::leader_jobs, "", "coralhitch_leader_jobs", R"(coralhitch_current{of="jobs"})"},
     {Metric::leader_jobs_with_pending_dependencies, "", "coralhitch_leader_jobs_with_pending_dependencies",
      R"(coralhitch_current{of="awaiting"})"},
+    {Metric::leader_dependency_steps, "", "coralhitch_leader_dependency_steps_total", ""},
     {Metric::leader_unstored_job_ends, "", "coralhitch_leader_unstored_job_ends",
      R"(coralhitch_current{of="ends_waiting"})"},
     {Metric::leader_cancelled_jobs_to_remove, "", "coralhitch_leader_cancelled_jobs_to_remove",
--- a/tests/scenarios/fault_scenarios.cpp
+++ b/tests/scenarios/fault_scenarios.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "scenarios/pipeline_generator.hpp"
+
 namespace coralhitch::simulation {
 namespace {
 
@@ -55,6 +57,7 @@
 std::vector<std::string> run_scenario(const Scenario& scenario, ScenarioCounts* counts) {
     SimulatedCluster cluster(options_for(scenario));
     submit_steady_jobs(cluster, submissions_until_s);
+    schedule_pipeline(cluster, draw_pipeline(scenario.seed));
     cluster.faults_over_at = 0;
     for (auto& fault : scenario.faults) {
         cluster.at(fault.at, [&cluster, fault] { inject(cluster, fault); });
--- a/tests/simulation/simulated_cluster.cpp
+++ b/tests/simulation/simulated_cluster.cpp
@@ -97,6 +97,7 @@
     repeat_every(0.5, [this] { checker_.check_cancelled_jobs(now()); });
     repeat_every(1.0, [this] { check_health(); });
     repeat_every(1.0, [this] { check_waiting(); });
+    repeat_every(4.0, [this] { check_dependency_steps(); });
     repeat_every(0.05, [this] { replay_kept_heartbeats(); });
     repeat_every(4.0, [this] { query_all_jobs(); });
     // The tasks of a hanging machine end when its lease expires, too.
--- a/tests/simulation/simulated_cluster.hpp
+++ b/tests/simulation/simulated_cluster.hpp
@@ -45,6 +45,12 @@
 // Returns the jobs whose ends this one waits for.
 std::vector<std::string> dependencies_of(const json& spec);
 
+// Returns the run time of a task in seconds. It is the owner's estimate, unless the field `run_s`, which
+// controllers ignore, says otherwise.
+inline double run_time_s(const json& spec) {
+    return spec.value("run_s", spec["reckon_s"].get<double>());
+}
+
 // Three controllers with their surroundings. A test schedules requests and faults, runs the simulation with
 // `run_until`, and examines the observations. Runs with equal options and calls are equal: all random draws
 // come from one generator with the seed of the options. Times are simulated seconds. Single-threaded.
@@ -268,6 +274,7 @@
     void observe_machine(const Worker& worker);
     void clear_tasks(Worker& worker);
     void check_waiting();
+    void check_dependency_steps();
 
     std::vector<Node> nodes_;
     std::vector<Node> crashed_nodes_;
--- a/tests/simulation/simulated_cluster_observation.cpp
+++ b/tests/simulation/simulated_cluster_observation.cpp
@@ -3,6 +3,7 @@
 
 #include "protocol/model.hpp"
 #include "simulation/simulated_cluster.hpp"
+#include "support/prometheus_series.hpp"
 
 namespace coralhitch::simulation {
 namespace {
@@ -108,4 +109,26 @@
     checker_.check_waiting(now(), usable);
 }
 
+// The leader must examine the dependencies between jobs in proportion to their number for each change,
+// whatever the length, the width and the order of a pipeline. Simulated time does not pass while a controller
+// computes, so nothing else shows that a turn of its event loop takes too long.
+void SimulatedCluster::check_dependency_steps() {
+    constexpr double max_steps_per_dependency_and_change = 4;
+    auto leading = leader();
+    if (!leading) return;
+    double dependencies = 0, changes = 1;  // reading the stored jobs is one change
+    for (auto& [id, job] : jobs) {
+        auto count = dependencies_of(job.spec).size();
+        dependencies += static_cast<double>(count);
+        changes += (count > 0) + job.cancel_asked;
+    }
+    send_user_request(*leading, {"GET", "/metrics", {}}, [&](const http::Response& response) {
+        auto steps = parse_series(response.body)["coralhitch_leader_dependency_steps_total"];
+        double most = max_steps_per_dependency_and_change * dependencies * changes;
+        if (!steps.empty() && std::stod(steps) > most)
+            add_violation("the leader examined dependencies " + steps + " times, expected at most " +
+                          std::to_string(most));
+    });
+}
+
 }  // namespace coralhitch::simulation
--- a/tests/simulation/simulated_cluster_workers.cpp
+++ b/tests/simulation/simulated_cluster_workers.cpp
@@ -211,8 +211,7 @@
     if (spec["shape"] == "gang") return wait_for_gang(worker, name);
     task.status = "running";
     if (spec["shape"] == "service") return;
-    at(now() + spec["reckon_s"].get<double>(),
-       [this, &worker, name, attempt] { finish(worker, name, attempt, "done"); });
+    at(now() + run_time_s(spec), [this, &worker, name, attempt] { finish(worker, name, attempt, "done"); });
 }
 // Lets the task wait until the last task of its gang has its image; then all of them start. A task that has
 // waited for `gang_wait_s` exits.
@@ -238,7 +237,7 @@
     if (static_cast<int>(waiting.size()) < spec["shards"].get<int>()) return;
     for (auto& member : waiting) {
         member.worker->tasks[member.task].status = "running";
-        at(now() + spec["reckon_s"].get<double>(),
+        at(now() + run_time_s(spec),
            [this, member, attempt = task.attempt] { finish(*member.worker, member.task, attempt, "done"); });
     }
 }
