--- a/tests/leader/instance_tracker_test.cpp
+++ b/tests/leader/instance_tracker_test.cpp
@@ -19,6 +19,13 @@
         machine.agent_epoch = protocol::AgentEpoch{1};
         return machine;
     }
+    jobs::JobEntry& add_gang(const std::string& id, std::uint32_t tasks) {
+        auto& job = add_job(id, tasks);
+        auto gang = std::make_shared<protocol::Job>(*job.spec);
+        gang->kind = protocol::JobKind::gang;
+        job.spec = gang;
+        return job;
+    }
     // Adds an instance to this machine, as a heartbeat that reports it does.
     cluster::Instance& show(const std::string& job, cluster::Machine& machine, std::uint32_t task,
                             std::uint64_t attempt) {
@@ -66,10 +73,7 @@
 
 TEST(InstanceTracker, StopsAllTasksOfAGangThatHasLostOne) {
     Bench bench;
-    auto& job = bench.add_job("j-1", 2);
-    auto gang = std::make_shared<protocol::Job>(*job.spec);
-    gang->kind = protocol::JobKind::gang;
-    job.spec = gang;
+    auto& job = bench.add_gang("j-1", 2);
     auto& first = bench.add_machine("vm-1");
     auto& second = bench.add_machine("vm-2");
     bench.show("j-1", first, 0, 5);
@@ -83,10 +87,7 @@
 
 // A gang of `tasks` tasks on two machines.
 struct GangBench : Bench {
-    explicit GangBench(std::uint32_t tasks) : job(add_job("j-1", tasks)) {
-        auto gang = std::make_shared<protocol::Job>(*job.spec);
-        gang->kind = protocol::JobKind::gang;
-        job.spec = gang;
+    explicit GangBench(std::uint32_t tasks) : job(add_gang("j-1", tasks)) {
         for (std::uint32_t task = 0; task < tasks; ++task) show("j-1", *machines[task % 2], task, 5);
     }
     std::vector<cluster::Machine*> machines{&add_machine("vm-1"), &add_machine("vm-2")};
@@ -114,10 +115,7 @@
 // new leader.
 TEST(InstanceTracker, StopsATaskThatIsFoundAfterTheRestOfItsGangWasStopped) {
     Bench bench;
-    auto& job = bench.add_job("j-1", 3);
-    auto gang = std::make_shared<protocol::Job>(*job.spec);
-    gang->kind = protocol::JobKind::gang;
-    job.spec = gang;
+    bench.add_gang("j-1", 3);
     auto& first = bench.add_machine("vm-1");
     auto& second = bench.add_machine("vm-2");
     bench.show("j-1", first, 0, 5);
