--- a/tests/simulation/simulated_key_value_store.cpp
+++ b/tests/simulation/simulated_key_value_store.cpp
@@ -1,5 +1,7 @@
 #include "simulation/simulated_key_value_store.hpp"
 
+#include <algorithm>
+
 namespace coralhitch::simulation {
 namespace {
 
@@ -72,10 +74,13 @@
 }
 json SimulatedKeyValueStore::events_for(const Watch& watch) const {
     json events = json::array();
-    for (auto& [revision, event] : history_) {
+    auto first = std::partition_point(history_.begin(), history_.end(),
+                                      [&](auto& change) { return change.revision <= watch.since; });
+    for (auto change = first; change != history_.end(); ++change) {
+        auto& event = change->event;
         auto key = key_of(event);
         bool hidden = hidden_keys_.contains(key) && (watch.waits || watch.from == hidden_from_client_);
-        if (revision > watch.since && key.starts_with(watch.prefix) && !hidden) events.push_back(event);
+        if (key.starts_with(watch.prefix) && !hidden) events.push_back(event);
     }
     return events;
 }
