Checker: visit each dependency once instead of once for each path

Observations:: cancel_wanted and dependency_cancelled_at followed every path to every dependency, for each answer to a user and for each job once a second.

Change: dependencies_of collects the direct and indirect dependencies, each once, and both functions use it. What they return is unchanged.

--- a/src/verification/observations.cpp
+++ b/src/verification/observations.cpp
@@ -1,6 +1,7 @@
 #include "verification/observations.hpp"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace coralhitch::verification {
 namespace {
@@ -36,25 +37,31 @@
     auto* observed = find(job);
     return observed && observed->is_done();
 }
+std::vector<const ObservedJob*> Observations::dependencies_of(const std::string& job) const {
+    std::vector<const ObservedJob*> found;
+    std::unordered_set<std::string> visited;
+    auto add_direct = [&](const ObservedJob& dependent) {
+        for (auto& id : dependent.job.dependencies)
+            if (auto* dependency = find(id); dependency && visited.insert(id).second)
+                found.push_back(dependency);
+    };
+    if (auto* observed = find(job)) add_direct(*observed);
+    for (std::size_t next = 0; next < found.size(); ++next) add_direct(*found[next]);
+    return found;
+}
 bool Observations::cancel_wanted(const std::string& job) const {
     auto* observed = find(job);
     if (!observed) return false;
-    if (observed->cancel_requested) return true;
-    auto& awaits = observed->job.dependencies;
-    return std::any_of(awaits.begin(), awaits.end(),
-                       [this](auto& awaited) { return cancel_wanted(awaited); });
+    auto dependencies = dependencies_of(job);
+    return observed->cancel_requested ||
+           std::any_of(dependencies.begin(), dependencies.end(),
+                       [](auto* dependency) { return dependency->cancel_requested; });
 }
 std::optional<double> Observations::dependency_cancelled_at(const std::string& job) const {
     std::optional<double> first;
-    auto consider = [&first](std::optional<double> time) {
-        if (time && (!first || *time < *first)) first = time;
-    };
-    auto* observed = find(job);
-    if (!observed) return first;
-    for (auto& id : observed->job.dependencies) {
-        auto* awaited = find(id);
-        if (awaited && awaited->cancel_requested) consider(awaited->cancelled_at);
-        consider(dependency_cancelled_at(id));
+    for (auto* dependency : dependencies_of(job)) {
+        auto& time = dependency->cancelled_at;
+        if (dependency->cancel_requested && time && (!first || *time < *first)) first = *time;
     }
     return first;
 }
--- a/src/verification/observations.hpp
+++ b/src/verification/observations.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "protocol/model.hpp"
 
@@ -50,6 +51,9 @@
     Jobs& jobs() { return jobs_; }
     const Jobs& jobs() const { return jobs_; }
     bool is_done(const std::string& job) const;
+    // Returns the known jobs that the job depends on, directly or indirectly, each of them once: the number
+    // of paths to them may be exponential in the length of a pipeline.
+    std::vector<const ObservedJob*> dependencies_of(const std::string& job) const;
     // Returns whether a user has requested the cancellation of the job or of a job that it depends on,
     // directly or indirectly.
     bool cancel_wanted(const std::string& job) const;
