Job reader: a query waits only for the outcomes that its own job depends on

What callers would have seen: since a query whose job waits for the outcome of a dependency was answered only after the outcomes for all queries of the same batch had been read, so one slow final record delayed the users of other pipelines.

Cause: searched and read the outcomes of a batch together, and repeated its reads together.

Change: after each outcome, those arriving in one turn together, the reads that it decides are repeated; the others go on waiting. One search for the undecided jobs a turn, so the work of a turn still grows with the dependencies only.

--- a/src/api/job_reader.cpp
+++ b/src/api/job_reader.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 #include <utility>
 
@@ -91,19 +92,41 @@
     }
     auto dependencies = live_jobs_.unresolved_dependencies_of(ids);
     if (dependencies.empty()) return repeat_reads(reads);  // they were resolved since
-    auto remaining = std::make_shared<std::size_t>(dependencies.size());
-    auto waiting = std::make_shared<const UndecidedReads>(reads);
+    auto resolution = std::make_shared<Resolution>(Resolution{reads, dependencies.size()});
     for (auto& dependency : dependencies)
         read_final(
             dependency,
-            [this, dependency, remaining, waiting](const JobReadResult& result) {
+            [this, dependency, resolution](const JobReadResult& result) {
                 if (auto* record = std::get_if<protocol::FinalRecord>(&result))
                     live_jobs_.apply_outcome(dependency, record->state);
-                if (--*remaining == 0) repeat_reads(*waiting);
+                --resolution->outstanding_reads;
+                repeat_decided_later(resolution);
             },
             priority);
 }
 
+// Outcomes that are known at once, or that arrive in the same turn of the event loop, share one search for
+// the reads that they decide.
+void JobReader::repeat_decided_later(const std::shared_ptr<Resolution>& resolution) {
+    if (std::exchange(resolution->repeat_scheduled, true)) return;
+    timers_.after(0, [this, resolution] {
+        resolution->repeat_scheduled = false;
+        repeat_decided(*resolution);
+    });
+}
+
+// A read does not wait for outcomes that only other jobs depend on.
+void JobReader::repeat_decided(Resolution& resolution) {
+    if (resolution.outstanding_reads == 0) return repeat_reads(std::exchange(resolution.reads, {}));
+    const auto undecided = live_jobs_.undecided_jobs();
+    auto decided = std::stable_partition(resolution.reads.begin(), resolution.reads.end(),
+                                         [&](auto& read) { return undecided.contains(read.id); });
+    const UndecidedReads repeated(std::make_move_iterator(decided),
+                                  std::make_move_iterator(resolution.reads.end()));
+    resolution.reads.erase(decided, resolution.reads.end());
+    repeat_reads(repeated);
+}
+
 void JobReader::repeat_reads(const UndecidedReads& reads) {
     for (auto& [id, done, priority, attempt] : reads) read_attempt(id, done, priority, attempt + 1);
 }
--- a/src/api/job_reader.hpp
+++ b/src/api/job_reader.hpp
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -69,9 +70,17 @@
         int attempt;
     };
     using UndecidedReads = std::vector<UndecidedRead>;
+    // The reads of one batch that wait for outcomes, which are read together.
+    struct Resolution {
+        UndecidedReads reads;
+        std::size_t outstanding_reads = 0;  // of final records
+        bool repeat_scheduled = false;
+    };
     void read_attempt(const std::string& id, const Callback& done, kv::RequestPriority priority, int attempt);
     void resolve_later(UndecidedRead read);
     void resolve_dependencies(const UndecidedReads& reads);
+    void repeat_decided_later(const std::shared_ptr<Resolution>& resolution);
+    void repeat_decided(Resolution& resolution);
     void repeat_reads(const UndecidedReads& reads);
     void send_final_read(const std::string& id, kv::RequestPriority priority);
     JobReadResult parse_final(const std::string& id, const kv::GetResult& result);
--- a/src/api/live_jobs.cpp
+++ b/src/api/live_jobs.cpp
@@ -183,9 +183,8 @@
     for (auto& dependent : dependencies_.resolve(id)) std::erase(jobs_.at(dependent).dependencies, id);
 }
 
-// Returns the direct and transitive dependents of unresolved jobs, but not through jobs that are cancelled
-// anyway. Computed once for all reads of a batch: a search for each read took time that grew with the square
-// of a pipeline whose jobs were all queried.
+// Computed once for all reads of a batch: a search for each read takes time that grows with the square of a
+// pipeline whose jobs are all queried.
 std::unordered_set<std::string> LiveJobs::undecided_jobs() {
     std::unordered_set<std::string> undecided;
     for (auto& id : dependencies_.unresolved())
--- a/src/api/live_jobs.hpp
+++ b/src/api/live_jobs.hpp
@@ -45,8 +45,8 @@
     struct ReadResult {
         bool ok = false;              // false if the key-value store did not answer; the rest is empty then
         std::optional<LiveJob> live;  // empty if the job is not live
-        // True if it depends on outcomes that are not known whether the job is cancelled. The caller gets
-        // them from `unresolved_dependencies_of`, passes them to `apply_outcome` and reads the job again.
+        // True if outcomes that are not known decide whether the job is cancelled. The caller reads those of
+        // `unresolved_dependencies_of`, passes them to `apply_outcome` and reads the job again.
         bool undecided = false;
     };
     using ReadCallback = std::function<void(ReadResult)>;
@@ -62,6 +62,9 @@
     // Applies the outcome of an ended job, which never changes, to its dependents. Has no effect unless the
     // outcome is unresolved.
     void apply_outcome(const std::string& id, protocol::JobState state);
+    // Returns the jobs that depend, directly or transitively, on an outcome that is not known, and that are
+    // not cancelled otherwise.
+    [[nodiscard]] std::unordered_set<std::string> undecided_jobs();
     // Returns the direct or transitive dependencies of these jobs that are not live and whose outcome decides
     // whether one of the jobs is cancelled.
     [[nodiscard]] std::vector<std::string> unresolved_dependencies_of(const std::vector<std::string>& ids);
@@ -99,7 +102,6 @@
     void apply_entry(const std::string& key, std::uint64_t version, const std::string* value);
     void remove(const std::string& id);
     void cancel_dependents(const std::string& id);
-    std::unordered_set<std::string> undecided_jobs();
 
     event_loop::Timers& timers_;
     kv::KvClient& kv_;
--- a/tests/api/user_api_test.cpp
+++ b/tests/api/user_api_test.cpp
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "api/user_api_fixture.hpp"
+#include "protocol/user_api.hpp"
 
 namespace coralhitch::api {
 namespace {
@@ -136,5 +137,35 @@
     for (auto& a : fixture.answers) EXPECT_TRUE(a->status == 200 || a->status == 201) << a->status;
 }
 
+// Guards against a slow read of one final record that delays the queries of all jobs that are answered
+// together: a query waits only for the outcomes that its own job depends on.
+TEST(UserApi, WaitsOnlyForTheOutcomesThatTheQueriedJobDependsOn) {
+    UserApiFixture fixture;
+    auto store_live = [&](const std::string& id, const std::string& dependency) {
+        auto job = protocol::parse_job(submission_body(id));
+        job.dependencies = {dependency};
+        fixture.kv_store.kv[keys::job(id)] = {
+            json::parse(protocol::stored(protocol::JobRecord{job, 1, false})), 1};
+    };
+    auto store_done = [&](const std::string& id) {
+        fixture.kv_store.kv[keys::final(id)] = {
+            json::parse(protocol::stored(protocol::FinalRecord{protocol::JobState::done, 1})), 1};
+    };
+    store_done("j-000001");
+    store_live("j-000002", "j-000001");
+    store_done("j-000003");
+    store_live("j-000004", "j-000003");
+    constexpr double slow_s = 1.5, soon_s = 1;
+    fixture.kv_store.read_latency[keys::final("j-000001")] = slow_s;
+    fixture.query(0, "j-000009");  // the first query does not wait for others
+    auto* slow = fixture.query(0, "j-000002");
+    auto* quick = fixture.query(0, "j-000004");
+    fixture.timers.run_until(soon_s);
+    EXPECT_EQ(quick->state, "pending");
+    EXPECT_EQ(slow->status, 0) << "it is not known yet whether its dependency was cancelled";
+    fixture.timers.run_until(4);
+    EXPECT_EQ(slow->state, "pending");
+}
+
 }  // namespace
 }  // namespace coralhitch::api
--- a/tests/scenarios/pipeline_generator.cpp
+++ b/tests/scenarios/pipeline_generator.cpp
@@ -22,7 +22,7 @@
     return static_cast<Kind>(random() % count);
 }
 
-// Builds the jobs with their number in the order of submission as ids; `assign_ids` replaces them.
+// Adds the jobs of a pipeline, and assigns their ids when all are known.
 class PipelineBuilder {
   public:
     PipelineBuilder(std::mt19937_64& random, Pipeline& pipeline) : random_(random), pipeline_(pipeline) {}
@@ -51,11 +51,11 @@
         previous.push_back(side_job);
         return {add_job(0, previous)};
     }
-    std::size_t add_job(std::size_t stage, const std::vector<std::size_t>& dependencies) {
+    std::size_t add_job(std::size_t times_grown, const std::vector<std::size_t>& dependencies) {
         constexpr double first_estimate_s = 1e-3;
         PipelineJob job;
         job.run_s = between(random_, 0.2, 0.8);
-        job.estimated_run_s = first_estimate_s * std::pow(pipeline_.estimate_growth, stage);
+        job.estimated_run_s = first_estimate_s * std::pow(pipeline_.estimate_growth, times_grown);
         pipeline_.jobs.push_back(job);
         dependencies_.push_back(dependencies);
         return pipeline_.jobs.size() - 1;
--- a/tests/scenarios/pipeline_generator.hpp
+++ b/tests/scenarios/pipeline_generator.hpp
@@ -35,8 +35,8 @@
     PipelineShape shape = PipelineShape::chain;
     IdOrder id_order = IdOrder::ascending;
     std::size_t stages = 0;
-    double estimate_growth =
-        1;  // ratio of the estimates of side jobs, or of all other jobs, from stage to stage
+    // Ratio of the estimates of two successive stages; in a ladder, of their side jobs only.
+    double estimate_growth = 1;
     std::vector<PipelineJob> jobs;
     std::optional<std::size_t> cancelled_job;  // index in `jobs`
     double cancelled_at = 0;
--- a/tests/support/fake_key_value_store.hpp
+++ b/tests/support/fake_key_value_store.hpp
@@ -34,6 +34,7 @@
     std::uint64_t revision = 4;
     int changes = 0;                                        // number of changes executed
     std::function<double()> latency = [] { return 0.01; };  // from the execution to the answer, seconds
+    std::map<std::string, double> read_latency;             // of these keys instead of `latency`, seconds
     std::map<std::string, int> requests;                    // number executed, by kind: kv, list, watch, txn
     // Answers requests to other addresses than the store's, if set.
     std::function<void(const std::string& addr, const http::Request&, double timeout, http::Result)> others;
@@ -50,10 +51,16 @@
         if (fate == TxnFate::answered || fate == TxnFate::answer_lost) answer = execute(r);
         if (fate == TxnFate::executed_late) timers_.after(timeout * 1.4, [this, r] { execute(r); });
         if (fate != TxnFate::answered) answer = std::nullopt;
-        timers_.after(answer ? latency() : timeout, [answer, result] { result(answer); });
+        timers_.after(answer ? latency_of(r) : timeout, [answer, result] { result(answer); });
     }
 
   private:
+    double latency_of(const http::Request& r) {
+        constexpr std::size_t path_size = 4;  // of "/kv/"
+        auto slow =
+            r.target.starts_with("/kv/") ? read_latency.find(r.target.substr(path_size)) : read_latency.end();
+        return slow == read_latency.end() ? latency() : slow->second;
+    }
     http::Response watch(const std::string& target) {
         auto prefix = target.substr(target.find("starts=") + 7);
         prefix.erase(std::min(prefix.size(), prefix.find('&')));
