--- a/src/verification/observations.cpp
+++ b/src/verification/observations.cpp
@@ -38,15 +38,19 @@
     return observed && observed->is_done();
 }
 std::vector<const ObservedJob*> Observations::dependencies_of(const std::string& job) const {
-    std::vector<const ObservedJob*> found;
-    std::unordered_set<std::string> visited;
-    auto add_direct = [&](const ObservedJob& dependent) {
-        for (auto& id : dependent.job.dependencies)
-            if (auto* dependency = find(id); dependency && visited.insert(id).second)
-                found.push_back(dependency);
-    };
-    if (auto* observed = find(job)) add_direct(*observed);
-    for (std::size_t next = 0; next < found.size(); ++next) add_direct(*found[next]);
+    std::vector<const ObservedJob*> found, unvisited;
+    std::unordered_set<std::string> known;
+    if (auto* observed = find(job)) unvisited.push_back(observed);
+    while (!unvisited.empty()) {
+        auto* dependent = unvisited.back();
+        unvisited.pop_back();
+        for (auto& id : dependent->job.dependencies) {
+            auto* dependency = find(id);
+            if (!dependency || !known.insert(id).second) continue;
+            found.push_back(dependency);
+            unvisited.push_back(dependency);
+        }
+    }
     return found;
 }
 bool Observations::cancel_wanted(const std::string& job) const {
