--- a/tests/leader/instance_tracker_test.cpp
+++ b/tests/leader/instance_tracker_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 using protocol::ExitCause;
 
-struct Bench : LeadingFixture {
+struct TrackerFixture : LeadingFixture {
     cluster::Machine& add_machine(const std::string& id) {
         auto& machine = state->cluster.add(id, "10.1.0.1:9", "g4", "a", false,
                                            cluster::Machine::Lifecycle::up, timers.now());
@@ -56,13 +56,13 @@
 // second.
 TEST(InstanceTracker, KeepsTheNewerAttemptWhicheverIsReportedFirst) {
     for (bool newer_first : {false, true}) {
-        Bench bench;
-        auto& job = bench.add_job("j-1", 1);
-        auto& older = bench.add_machine("vm-1");
-        auto& newer = bench.add_machine("vm-2");
-        if (newer_first) bench.show("j-1", newer, 0, 6);
-        bench.show("j-1", older, 0, 5);
-        if (!newer_first) bench.show("j-1", newer, 0, 6);
+        TrackerFixture fixture;
+        auto& job = fixture.add_job("j-1", 1);
+        auto& older = fixture.add_machine("vm-1");
+        auto& newer = fixture.add_machine("vm-2");
+        if (newer_first) fixture.show("j-1", newer, 0, 6);
+        fixture.show("j-1", older, 0, 5);
+        if (!newer_first) fixture.show("j-1", newer, 0, 6);
         EXPECT_EQ(job.active.at(0).machine, "vm-2");
         EXPECT_TRUE(older.tasks.at({"j-1", 0}).orphaned);
         EXPECT_TRUE(older.tasks.at({"j-1", 0}).stop_requested);
@@ -72,22 +72,22 @@
 }
 
 TEST(InstanceTracker, StopsAllTasksOfAGangThatHasLostOne) {
-    Bench bench;
-    auto& job = bench.add_gang("j-1", 2);
-    auto& first = bench.add_machine("vm-1");
-    auto& second = bench.add_machine("vm-2");
-    bench.show("j-1", first, 0, 5);
-    auto& remaining = bench.show("j-1", second, 1, 5);
+    TrackerFixture fixture;
+    auto& job = fixture.add_gang("j-1", 2);
+    auto& first = fixture.add_machine("vm-1");
+    auto& second = fixture.add_machine("vm-2");
+    fixture.show("j-1", first, 0, 5);
+    auto& remaining = fixture.show("j-1", second, 1, 5);
     EXPECT_FALSE(remaining.stop_requested);
-    bench.end("j-1", first, 0, ExitCause::unknown);
+    fixture.end("j-1", first, 0, ExitCause::unknown);
     EXPECT_TRUE(remaining.stop_requested);
     EXPECT_FALSE(job.active.contains(0));
     EXPECT_TRUE(job.active.contains(1)) << "it stays active until there is evidence that it has terminated";
 }
 
 // A gang of `tasks` tasks on two machines.
-struct GangBench : Bench {
-    explicit GangBench(std::uint32_t tasks) : job(add_gang("j-1", tasks)) {
+struct GangFixture : TrackerFixture {
+    explicit GangFixture(std::uint32_t tasks) : job(add_gang("j-1", tasks)) {
         for (std::uint32_t task = 0; task < tasks; ++task) show("j-1", *machines[task % 2], task, 5);
     }
     std::vector<cluster::Machine*> machines{&add_machine("vm-1"), &add_machine("vm-2")};
@@ -103,53 +103,53 @@
 TEST(InstanceTracker, GoesThroughTheTasksOfAGangOnceHoweverManyOfThemEnd) {
     for (std::uint32_t tasks : {10, 100, 1000})
         for (auto cause : {ExitCause::done, ExitCause::gang_member_lost}) {
-            GangBench bench(tasks);
-            bench.end_all(cause);
-            EXPECT_LE(bench.tracker.tasks_examined(), tasks);
-            EXPECT_EQ(bench.job.all_done(), cause == ExitCause::done);
-            EXPECT_TRUE(bench.job.active.empty());
+            GangFixture fixture(tasks);
+            fixture.end_all(cause);
+            EXPECT_LE(fixture.tracker.tasks_examined(), tasks);
+            EXPECT_EQ(fixture.job.all_done(), cause == ExitCause::done);
+            EXPECT_TRUE(fixture.job.active.empty());
         }
 }
 
 // An instance may be found after the rest of its gang was stopped, as when a machine has not reported to a
 // new leader.
 TEST(InstanceTracker, StopsATaskThatIsFoundAfterTheRestOfItsGangWasStopped) {
-    Bench bench;
-    bench.add_gang("j-1", 3);
-    auto& first = bench.add_machine("vm-1");
-    auto& second = bench.add_machine("vm-2");
-    bench.show("j-1", first, 0, 5);
-    bench.show("j-1", first, 1, 5);
-    bench.end("j-1", first, 0, ExitCause::unknown);
-    auto& found_later = bench.show("j-1", second, 2, 5);
-    bench.end("j-1", first, 1, ExitCause::gang_member_lost);
+    TrackerFixture fixture;
+    fixture.add_gang("j-1", 3);
+    auto& first = fixture.add_machine("vm-1");
+    auto& second = fixture.add_machine("vm-2");
+    fixture.show("j-1", first, 0, 5);
+    fixture.show("j-1", first, 1, 5);
+    fixture.end("j-1", first, 0, ExitCause::unknown);
+    auto& found_later = fixture.show("j-1", second, 2, 5);
+    fixture.end("j-1", first, 1, ExitCause::gang_member_lost);
     EXPECT_TRUE(found_later.stop_requested);
 }
 
 TEST(InstanceTracker, ARepeatedEndOfAnOldAttemptDoesNotEndTheNextOne) {
-    Bench bench;
-    auto& job = bench.add_job("j-1", 1);
-    auto& machine = bench.add_machine("vm-1");
-    bench.show("j-1", machine, 0, 6);
+    TrackerFixture fixture;
+    auto& job = fixture.add_job("j-1", 1);
+    auto& machine = fixture.add_machine("vm-1");
+    fixture.show("j-1", machine, 0, 6);
     cluster::InstanceEnd older{"vm-1", {"j-1", 0}, protocol::AttemptNumber{5}, true};
-    bench.tracker.instance_ended(older);
+    fixture.tracker.instance_ended(older);
     EXPECT_TRUE(job.active.contains(0));
 }
 
 TEST(InstanceTracker, QuarantinesAMachineOnWhichTasksOfSeveralJobsFail) {
-    Bench bench;
-    bench.add_job("j-1", 1);
-    bench.add_job("j-2", 1);
-    auto& machine = bench.add_machine("vm-1");
-    double now = bench.timers.now(), heartbeat_interval_s = bench.settings.heartbeat_interval_s;
-    bench.show("j-1", machine, 0, 5);
-    bench.end("j-1", machine, 0, ExitCause::error);
+    TrackerFixture fixture;
+    fixture.add_job("j-1", 1);
+    fixture.add_job("j-2", 1);
+    auto& machine = fixture.add_machine("vm-1");
+    double now = fixture.timers.now(), heartbeat_interval_s = fixture.settings.heartbeat_interval_s;
+    fixture.show("j-1", machine, 0, 5);
+    fixture.end("j-1", machine, 0, ExitCause::error);
     EXPECT_DOUBLE_EQ(machine.quarantined_until, now + heartbeat_interval_s * 2);
-    EXPECT_TRUE(bench.marked.empty());
-    bench.show("j-2", machine, 0, 6);
-    bench.end("j-2", machine, 0, ExitCause::error);
+    EXPECT_TRUE(fixture.marked.empty());
+    fixture.show("j-2", machine, 0, 6);
+    fixture.end("j-2", machine, 0, ExitCause::error);
     EXPECT_DOUBLE_EQ(machine.quarantined_until, now + heartbeat_interval_s * 20);
-    EXPECT_EQ(bench.marked, std::vector<std::string>{"vm-1"}) << "it is empty, so it is deleted";
+    EXPECT_EQ(fixture.marked, std::vector<std::string>{"vm-1"}) << "it is empty, so it is deleted";
 }
 
 }  // namespace
--- a/tests/leader/plan_executor_test.cpp
+++ b/tests/leader/plan_executor_test.cpp
@@ -26,8 +26,8 @@
     std::vector<event_loop::Task> results;
 };
 
-struct Bench : LeadingFixture {
-    Bench() {
+struct ExecutorFixture : LeadingFixture {
+    ExecutorFixture() {
         settings.teams = {{"t", 1000, 1000, 100, 100}};
         for (auto* id : {"vm-1", "vm-2"}) {
             auto& machine =
@@ -80,79 +80,79 @@
 };
 
 TEST(PlanExecutor, StartsWaitingTasks) {
-    Bench bench;
-    ASSERT_TRUE(bench.leads());
-    bench.add_job("j-000001", 3);
-    bench.plan();
-    bench.planner.apply();
-    EXPECT_EQ(bench.started.size(), 3u);
-    EXPECT_EQ(bench.placed(), 3u);
-    EXPECT_EQ(bench.state->jobs.find("j-000001")->active.size(), 3u);
+    ExecutorFixture fixture;
+    ASSERT_TRUE(fixture.leads());
+    fixture.add_job("j-000001", 3);
+    fixture.plan();
+    fixture.planner.apply();
+    EXPECT_EQ(fixture.started.size(), 3u);
+    EXPECT_EQ(fixture.placed(), 3u);
+    EXPECT_EQ(fixture.state->jobs.find("j-000001")->active.size(), 3u);
 }
 
 TEST(PlanExecutor, ComputesNoPlanIfNoTaskWaitsOrTheStateIsNotLoaded) {
-    Bench bench;
-    bench.plan();
-    EXPECT_TRUE(bench.planner.results.empty());
-    bench.add_job("j-000001", 3);
-    bench.loaded = false;
-    bench.plan();
-    EXPECT_TRUE(bench.planner.results.empty());
+    ExecutorFixture fixture;
+    fixture.plan();
+    EXPECT_TRUE(fixture.planner.results.empty());
+    fixture.add_job("j-000001", 3);
+    fixture.loaded = false;
+    fixture.plan();
+    EXPECT_TRUE(fixture.planner.results.empty());
 }
 
 TEST(PlanExecutor, ValidatesStartsAgainWhenAPlanIsApplied) {
-    Bench bench;
-    bench.add_job("j-000001", 3);
-    bench.add_job("j-000002", 2);
-    bench.plan();
-    bench.state->jobs.cancel("j-000001", 1000);
-    bench.planner.apply();
-    EXPECT_EQ(bench.started.size(), 2u);
-    for (auto& start : bench.started) EXPECT_EQ(start.task.job, "j-000002");
+    ExecutorFixture fixture;
+    fixture.add_job("j-000001", 3);
+    fixture.add_job("j-000002", 2);
+    fixture.plan();
+    fixture.state->jobs.cancel("j-000001", 1000);
+    fixture.planner.apply();
+    EXPECT_EQ(fixture.started.size(), 2u);
+    for (auto& start : fixture.started) EXPECT_EQ(start.task.job, "j-000002");
 }
 
 TEST(PlanExecutor, StartsAllOfAGangOrNone) {
-    Bench bench;
-    bench.add_gang("j-000001", 2, 10);  // 10 of 16 CPUs: one task per machine
-    bench.plan();
-    bench.state->cluster.find("vm-2")->suspected = true;
-    bench.planner.apply();
-    EXPECT_EQ(bench.applied, 1);
-    EXPECT_TRUE(bench.started.empty());
-    EXPECT_EQ(bench.placed(), 0u);
-    EXPECT_TRUE(bench.state->jobs.find("j-000001")->active.empty());
+    ExecutorFixture fixture;
+    fixture.add_gang("j-000001", 2, 10);  // 10 of 16 CPUs: one task per machine
+    fixture.plan();
+    fixture.state->cluster.find("vm-2")->suspected = true;
+    fixture.planner.apply();
+    EXPECT_EQ(fixture.applied, 1);
+    EXPECT_TRUE(fixture.started.empty());
+    EXPECT_EQ(fixture.placed(), 0u);
+    EXPECT_TRUE(fixture.state->jobs.find("j-000001")->active.empty());
 
-    bench.state->cluster.find("vm-2")->suspected = false;
-    bench.plan();
-    bench.planner.apply();
-    EXPECT_EQ(bench.started.size(), 2u);
+    fixture.state->cluster.find("vm-2")->suspected = false;
+    fixture.plan();
+    fixture.planner.apply();
+    EXPECT_EQ(fixture.started.size(), 2u);
 }
 
 // Guards against turns of the event loop that grow with the square of a gang: each start went through all
 // instances on its machine.
 TEST(PlanExecutor, GoesThroughTheInstancesOnAMachineOnceForAllStartsOfAPlan) {
     for (std::uint32_t tasks : {10, 100, 1000}) {
-        Bench bench;
-        for (auto& [id, machine] : bench.state->cluster.machines()) machine.total = {16, 0, 10000};
+        ExecutorFixture fixture;
+        for (auto& [id, machine] : fixture.state->cluster.machines()) machine.total = {16, 0, 10000};
         for (auto* id : {"j-000001", "j-000002"}) {
-            bench.add_gang(id, tasks, 0.001);
-            bench.plan();
-            bench.planner.apply();
-            ASSERT_EQ(bench.started.size(), tasks);
+            fixture.add_gang(id, tasks, 0.001);
+            fixture.plan();
+            fixture.planner.apply();
+            ASSERT_EQ(fixture.started.size(), tasks);
         }
-        EXPECT_EQ(bench.executor.instances_examined(), tasks)
+        EXPECT_EQ(fixture.executor.instances_examined(), tasks)
             << "those of the first gang, for the second one";
     }
 }
 
 TEST(PlanExecutor, AppliesNothingOnceTheLeadershipHasEnded) {
-    Bench bench;
-    bench.add_job("j-000001", 3);
-    bench.plan();
-    bench.authority->end();
-    bench.planner.apply();
-    EXPECT_EQ(bench.applied, 0);
-    EXPECT_EQ(bench.placed(), 0u);
+    ExecutorFixture fixture;
+    fixture.add_job("j-000001", 3);
+    fixture.plan();
+    fixture.authority->end();
+    fixture.planner.apply();
+    EXPECT_EQ(fixture.applied, 0);
+    EXPECT_EQ(fixture.placed(), 0u);
 }
 
 }  // namespace
