Plan executor: count the active tasks of an array once for each plan

Change: PlanExecutor::zones_of counts them once for each job and plan, and the counts are kept up to date with the starts that are applied or undone.

--- a/src/leader/plan_executor.cpp
+++ b/src/leader/plan_executor.cpp
@@ -125,7 +125,7 @@
     std::span<const scheduler::Start> starts = plan.out.starts;
     // Most plans start nothing, and summing up the usage of the teams iterates over the whole fleet.
     if (starts.empty()) return {};
-    AppliedStarts applied{cluster::team_usage(state_.cluster, settings_.teams), {}, {}};
+    AppliedStarts applied{cluster::team_usage(state_.cluster, settings_.teams), {}, {}, {}};
     for (std::size_t first = 0; first < starts.size();) {
         auto count = group_size(plan, first);
         auto attempt = parts_.attempts.next();
@@ -145,7 +145,7 @@
     if (!team || (planned.kind == JobKind::gang && !job->active.empty())) return;
     auto& spec = *job->spec;
     auto& used = applied.used[spec.team];
-    auto zones = zone_counts(*job, state_.cluster.zone_count());
+    auto& zones = zones_of(*job, applied);
     std::vector<PlacedInstance> placed;
     for (auto& start : group) {
         auto* machine = state_.cluster.find(plan.in.machines[start.machine].id);
@@ -169,9 +169,20 @@
     }
 }
 
+scheduler::ZoneCounts& PlanExecutor::zones_of(const jobs::JobEntry& job, AppliedStarts& applied) {
+    auto [position, inserted] = applied.zones.try_emplace(&job);
+    if (inserted) {
+        position->second = zone_counts(job, state_.cluster.zone_count());
+        instances_examined_ += job.active.size();
+    }
+    return position->second;
+}
+
 void PlanExecutor::undo_placements(jobs::JobEntry& job, std::span<const PlacedInstance> placed,
-                                   AppliedStarts& applied) {
+                                   AppliedStarts& applied) const {
+    auto& zones = applied.zones.at(&job);
     for (auto& [machine, task] : placed) {
+        --zones[state_.zone_of(*machine)];
         machine->tasks.erase({job.spec->id, task});
         job.active.erase(task);
         applied.used[job.spec->team] -= job.spec->request;
--- a/src/leader/plan_executor.hpp
+++ b/src/leader/plan_executor.hpp
@@ -17,6 +17,7 @@
 #include <random>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "cluster/team_activity.hpp"
@@ -71,7 +72,8 @@
     // Begins a plan as soon as the minimum interval since the beginning of the last plan has passed. Further
     // requests before then have no effect.
     void request_plan();
-    // Returns how many instances on machines were gone through so far to find room for starts.
+    // Returns how many instances on machines and active tasks of jobs were gone through so far to check
+    // starts.
     [[nodiscard]] std::uint64_t instances_examined() const { return instances_examined_; }
 
   private:
@@ -90,6 +92,7 @@
     struct AppliedStarts {
         TeamUsage used;
         MachineCapacities capacities;
+        std::unordered_map<const jobs::JobEntry*, scheduler::ZoneCounts> zones;  // of active tasks, by job
         std::vector<PlannedStart> started;
     };
     // An instance that the plan being applied has added to the cluster state and the job table.
@@ -115,8 +118,11 @@
     // Adds all starts of the group to the state, or none of them.
     void start_group(const Plan& plan, std::span<const scheduler::Start> group,
                      protocol::AttemptNumber attempt, AppliedStarts& applied);
-    static void undo_placements(jobs::JobEntry& job, std::span<const PlacedInstance> placed,
-                                AppliedStarts& applied);
+    // Returns the numbers of active tasks of the job by zone, which are counted once for all starts of a
+    // plan.
+    scheduler::ZoneCounts& zones_of(const jobs::JobEntry& job, AppliedStarts& applied);
+    void undo_placements(jobs::JobEntry& job, std::span<const PlacedInstance> placed,
+                         AppliedStarts& applied) const;
     [[nodiscard]] const config::Team* find_team(const jobs::JobEntry& job) const;
     [[nodiscard]] bool may_start(const jobs::JobEntry& job, std::uint32_t task,
                                  const cluster::Machine& machine, const scheduler::ZoneCounts& zones,
--- a/tests/leader/plan_executor_test.cpp
+++ b/tests/leader/plan_executor_test.cpp
@@ -49,13 +49,20 @@
         return tasks;
     }
     jobs::JobEntry& add_gang(const std::string& id, std::uint32_t tasks, double cpus) {
+        return add_job_of_kind(protocol::JobKind::gang, id, tasks, cpus);
+    }
+    jobs::JobEntry& add_job_of_kind(protocol::JobKind kind, const std::string& id, std::uint32_t tasks,
+                                    double cpus) {
         auto& job = add_job(id, tasks);
         auto spec = *job.spec;
-        spec.kind = protocol::JobKind::gang;
+        spec.kind = kind;
         spec.request = {cpus, 0, 1};
         job.spec = std::make_shared<const protocol::Job>(spec);
         return job;
     }
+    void make_room_for_all() {
+        for (auto& [id, machine] : state->cluster.machines()) machine.total = {16, 0, 10000};
+    }
     HeldPlanner planner;
     metrics::Metrics metrics;
     std::vector<protocol::MachineType> no_types;  // without machine types, no plan covers the fleet
@@ -133,7 +140,7 @@
 TEST(PlanExecutor, GoesThroughTheInstancesOnAMachineOnceForAllStartsOfAPlan) {
     for (std::uint32_t tasks : {10, 100, 1000}) {
         ExecutorFixture fixture;
-        for (auto& [id, machine] : fixture.state->cluster.machines()) machine.total = {16, 0, 10000};
+        fixture.make_room_for_all();
         for (auto* id : {"j-000001", "j-000002"}) {
             fixture.add_gang(id, tasks, 0.001);
             fixture.plan();
@@ -145,6 +152,22 @@
     }
 }
 
+// Guards against turns of the event loop that grow with the product of the active tasks of an array and those
+// that a plan starts: each start counted all active tasks of the job by zone.
+TEST(PlanExecutor, GoesThroughTheActiveTasksOfAnArrayOnceForAllStartsOfAPlan) {
+    ExecutorFixture fixture;
+    fixture.make_room_for_all();
+    auto& job = fixture.add_job_of_kind(protocol::JobKind::array, "j-000001", 1000, 0.001);
+    while (job.active.size() < 1000) {
+        const auto active_before = job.active.size(), examined_before = fixture.executor.instances_examined();
+        fixture.plan();
+        fixture.planner.apply();
+        ASSERT_GT(job.active.size(), active_before);
+        EXPECT_LE(fixture.executor.instances_examined() - examined_before, 2 * active_before)
+            << "once on their machines, and once in the job";
+    }
+}
+
 TEST(PlanExecutor, AppliesNothingOnceTheLeadershipHasEnded) {
     ExecutorFixture fixture;
     fixture.add_job("j-000001", 3);
