--- a/tests/leader/attempt_numbers_test.cpp
+++ b/tests/leader/attempt_numbers_test.cpp
@@ -13,8 +13,8 @@
 namespace coralhitch::leader {
 namespace {
 
-struct Bench {
-    Bench() {
+struct AttemptNumbersFixture {
+    AttemptNumbersFixture() {
         spdlog::set_level(spdlog::level::off);
         claim();
     }
@@ -61,33 +61,33 @@
 // possible. The load is that of 8,000 machines at the peak of the target, 0.2033 starts per machine and
 // second.
 TEST(AttemptNumbers, AnHourAtThePeakOf8000MachinesStaysBelowTheNextLeadership) {
-    Bench bench;
-    auto numbers = bench.leadership();
+    AttemptNumbersFixture fixture;
+    auto numbers = fixture.leadership();
     Series run;
     constexpr int starts_per_s = 1626, seconds = 3600;
     for (int s = 1; s <= seconds; ++s) {
         for (int k = 0; k < starts_per_s; ++k) run.take(*numbers);
         numbers->extend();
-        bench.timers.run_until(s);
+        fixture.timers.run_until(s);
     }
     EXPECT_EQ(run.missed, 0u);
     EXPECT_EQ(run.count, 5853600u);
     EXPECT_TRUE(run.increasing);
-    EXPECT_LE(bench.service.changes, 12);  // one reservation per half million numbers
-    bench.claim();
-    auto next = bench.leadership()->next();
+    EXPECT_LE(fixture.service.changes, 12);  // one reservation per half million numbers
+    fixture.claim();
+    auto next = fixture.leadership()->next();
     ASSERT_TRUE(next);
     EXPECT_GT(next->value(), run.last);
 }
 
 TEST(AttemptNumbers, TheFirstNumbersFollowFromTheVersion) {
-    Bench bench;
-    auto numbers = bench.leadership();
+    AttemptNumbersFixture fixture;
+    auto numbers = fixture.leadership();
     for (std::uint64_t k = 1; k <= 100; ++k)
-        EXPECT_EQ(numbers->next(), protocol::AttemptNumber{(bench.version << 20) + k});
+        EXPECT_EQ(numbers->next(), protocol::AttemptNumber{(fixture.version << 20) + k});
     numbers->extend();
-    bench.timers.run_until(1);
-    EXPECT_EQ(bench.service.changes, 0);  // no reservation before one is needed
+    fixture.timers.run_until(1);
+    EXPECT_EQ(fixture.service.changes, 0);  // no reservation before one is needed
 }
 
 // Without a response to the reservation the current revision is unknown, and a number beyond the bound could
@@ -95,25 +95,27 @@
 TEST(AttemptNumbers, StopsRatherThanUseAnotherLeadershipsNumbers) {
     struct Case {
         const char* name;
-        std::function<void(Bench&)> trouble;
+        std::function<void(AttemptNumbersFixture&)> trouble;
     };
     const Case cases[] = {
-        {"no authority", [](Bench& b) { b.authority = false; }},
+        {"no authority", [](AttemptNumbersFixture& b) { b.authority = false; }},
         {"no answer",
-         [](Bench& b) { b.service.txn_fates.assign(1000, FakeKeyValueStore::TxnFate::never_executed); }},
-        {"another leads", [](Bench& b) { b.claim(); }},
+         [](AttemptNumbersFixture& b) {
+             b.service.txn_fates.assign(1000, FakeKeyValueStore::TxnFate::never_executed);
+         }},
+        {"another leads", [](AttemptNumbersFixture& b) { b.claim(); }},
     };
     for (auto& c : cases) {
         SCOPED_TRACE(c.name);
-        Bench bench;
-        auto numbers = bench.leadership();
-        auto bound = (bench.version + 1) << 20;
-        c.trouble(bench);
+        AttemptNumbersFixture fixture;
+        auto numbers = fixture.leadership();
+        auto bound = (fixture.version + 1) << 20;
+        c.trouble(fixture);
         Series run;
         for (int s = 1; s <= 1400; ++s) {
             for (int k = 0; k < 1000; ++k) run.take(*numbers);
             numbers->extend();
-            bench.timers.run_until(s);
+            fixture.timers.run_until(s);
         }
         EXPECT_GT(run.missed, 0u);
         EXPECT_LT(run.last, bound);
@@ -121,15 +123,15 @@
 }
 
 TEST(AttemptNumbers, ContinuesOnceAReservationSucceeds) {
-    Bench bench;
-    auto numbers = bench.leadership();
-    bench.authority = false;
+    AttemptNumbersFixture fixture;
+    auto numbers = fixture.leadership();
+    fixture.authority = false;
     Series run;
     for (int k = 0; k < 1100000; ++k) run.take(*numbers);
     EXPECT_GT(run.missed, 0u);
-    bench.authority = true;
+    fixture.authority = true;
     numbers->extend();
-    bench.timers.run_until(10);
+    fixture.timers.run_until(10);
     auto before = run.last;
     run.take(*numbers);
     EXPECT_EQ(run.last, before + 1);
--- a/tests/leader/authority_test.cpp
+++ b/tests/leader/authority_test.cpp
@@ -28,8 +28,8 @@
     http::Requester& network_;
 };
 
-struct Bench {
-    Bench() {
+struct AuthorityFixture {
+    AuthorityFixture() {
         spdlog::set_level(spdlog::level::off);
         settings.cancel_s = 60;
         election.start({[this](protocol::LeaderVersion token) {
@@ -52,76 +52,77 @@
 };
 
 TEST(Authority, ActsOnlyWithinItsLease) {
-    Bench bench;
-    ASSERT_TRUE(bench.authority);
-    EXPECT_TRUE(bench.authority->holds());
-    EXPECT_TRUE(bench.authority->begin_transaction());
-    bench.network.cut = true;
-    double until = bench.election.authority_expiry();
-    bench.timers.run_until(until - 0.01);
-    EXPECT_TRUE(bench.authority->holds());
-    bench.timers.run_until(until);
-    EXPECT_FALSE(bench.authority->holds());
-    EXPECT_FALSE(bench.authority->begin_transaction());
+    AuthorityFixture fixture;
+    ASSERT_TRUE(fixture.authority);
+    EXPECT_TRUE(fixture.authority->holds());
+    EXPECT_TRUE(fixture.authority->begin_transaction());
+    fixture.network.cut = true;
+    double until = fixture.election.authority_expiry();
+    fixture.timers.run_until(until - 0.01);
+    EXPECT_TRUE(fixture.authority->holds());
+    fixture.timers.run_until(until);
+    EXPECT_FALSE(fixture.authority->holds());
+    EXPECT_FALSE(fixture.authority->begin_transaction());
 }
 
 TEST(Authority, RenewsWorkerLeasesForSomeTimeAfterItsOwnLeaseHasExpired) {
-    Bench bench;
-    ASSERT_TRUE(bench.authority);
-    bench.network.cut = true;
-    double until = bench.election.authority_expiry();
-    double after = bench.authority->renewal_after_expiry_s();
+    AuthorityFixture fixture;
+    ASSERT_TRUE(fixture.authority);
+    fixture.network.cut = true;
+    double until = fixture.election.authority_expiry();
+    double after = fixture.authority->renewal_after_expiry_s();
     ASSERT_GT(after, 0);
-    bench.timers.run_until(until + after - 0.01);
-    EXPECT_FALSE(bench.authority->holds());
-    EXPECT_TRUE(bench.authority->may_renew_worker_leases());
-    bench.timers.run_until(until + after + 0.01);
-    EXPECT_FALSE(bench.authority->may_renew_worker_leases());
+    fixture.timers.run_until(until + after - 0.01);
+    EXPECT_FALSE(fixture.authority->holds());
+    EXPECT_TRUE(fixture.authority->may_renew_worker_leases());
+    fixture.timers.run_until(until + after + 0.01);
+    EXPECT_FALSE(fixture.authority->may_renew_worker_leases());
 }
 
 TEST(Authority, RenewalsEndWhenCancellationsAreNotKnownRecentlyEnough) {
-    Bench bench;
-    ASSERT_TRUE(bench.authority);
-    double known_until = bench.timers.now();
-    bench.cancellations_known_until = known_until;
-    double left = relay::renewal_window_s(bench.settings);
+    AuthorityFixture fixture;
+    ASSERT_TRUE(fixture.authority);
+    double known_until = fixture.timers.now();
+    fixture.cancellations_known_until = known_until;
+    double left = relay::renewal_window_s(fixture.settings);
     ASSERT_GT(left, 0);
-    bench.timers.run_until(known_until + left - 0.01);
+    fixture.timers.run_until(known_until + left - 0.01);
     // The leader's lease has been renewed, so cancellations set the earlier deadline.
-    EXPECT_DOUBLE_EQ(bench.authority->lease_renewal_deadline(), known_until + left);
-    EXPECT_TRUE(bench.authority->may_renew_worker_leases());
-    bench.timers.run_until(known_until + left + 0.01);
-    EXPECT_FALSE(bench.authority->may_renew_worker_leases());
-    EXPECT_TRUE(bench.authority->holds()) << "the leader may still act";
+    EXPECT_DOUBLE_EQ(fixture.authority->lease_renewal_deadline(), known_until + left);
+    EXPECT_TRUE(fixture.authority->may_renew_worker_leases());
+    fixture.timers.run_until(known_until + left + 0.01);
+    EXPECT_FALSE(fixture.authority->may_renew_worker_leases());
+    EXPECT_TRUE(fixture.authority->holds()) << "the leader may still act";
 }
 
 TEST(Authority, FencedTransactionChangesNothingAfterALaterElection) {
-    Bench bench;
-    ASSERT_TRUE(bench.authority);
-    auto transaction = bench.authority->fenced_transaction();
+    AuthorityFixture fixture;
+    ASSERT_TRUE(fixture.authority);
+    auto transaction = fixture.authority->fenced_transaction();
     ASSERT_EQ(transaction.conditions.size(), 1u);
     EXPECT_EQ(transaction.conditions[0].key, kv::keys::leader);
-    EXPECT_EQ(transaction.conditions[0].version, bench.authority->fencing_token().value());
-    EXPECT_EQ(bench.authority->fencing_token().value(), bench.service.kv[kv::keys::leader].version);
+    EXPECT_EQ(transaction.conditions[0].version, fixture.authority->fencing_token().value());
+    EXPECT_EQ(fixture.authority->fencing_token().value(), fixture.service.kv[kv::keys::leader].version);
 
     transaction.changes.push_back({"some/key", std::nullopt, 0});
     std::optional<kv::TxnResult::Status> status;
-    bench.service.kv[kv::keys::leader].version = ++bench.service.revision;  // another controller is elected
-    bench.kv.txn(std::move(transaction), kv::RequestPriority::write,
-                 [&](const kv::TxnResult& result) { status = result.status; });
-    bench.timers.run_until(bench.timers.now() + 1);
+    fixture.service.kv[kv::keys::leader].version =
+        ++fixture.service.revision;  // another controller is elected
+    fixture.kv.txn(std::move(transaction), kv::RequestPriority::write,
+                   [&](const kv::TxnResult& result) { status = result.status; });
+    fixture.timers.run_until(fixture.timers.now() + 1);
     EXPECT_EQ(status, kv::TxnResult::Status::conflict);
 }
 
 TEST(Authority, EndsPermanently) {
-    Bench bench;
-    ASSERT_TRUE(bench.authority);
-    bench.authority->end();
-    EXPECT_TRUE(bench.election.may_act());
-    EXPECT_TRUE(bench.authority->ended());
-    EXPECT_FALSE(bench.authority->holds());
-    EXPECT_FALSE(bench.authority->begin_transaction());
-    EXPECT_FALSE(bench.authority->may_renew_worker_leases());
+    AuthorityFixture fixture;
+    ASSERT_TRUE(fixture.authority);
+    fixture.authority->end();
+    EXPECT_TRUE(fixture.election.may_act());
+    EXPECT_TRUE(fixture.authority->ended());
+    EXPECT_FALSE(fixture.authority->holds());
+    EXPECT_FALSE(fixture.authority->begin_transaction());
+    EXPECT_FALSE(fixture.authority->may_renew_worker_leases());
 }
 
 }  // namespace
--- a/tests/leader/command_sender_test.cpp
+++ b/tests/leader/command_sender_test.cpp
@@ -14,67 +14,65 @@
 using testing::IsEmpty;
 using testing::SizeIs;
 
-using Bench = PartsFixture;
-
 // Returns a successful response of the machine's agent, with its status.
 http::Response answer_of(const cluster::Machine& machine) {
     return {200, status_of(machine, 4).dump()};
 }
 
 TEST(CommandSender, SendsAStartUnderTheMachinesTokenAndAgentEpoch) {
-    Bench bench;
-    auto& machine = bench.add_reconciled_machine("vm-1");
-    bench.add_start("j-1", machine);
-    bench.commands.flush_all();
-    ASSERT_THAT(bench.sent, SizeIs(1));
-    EXPECT_EQ(bench.sent[0].addr, machine.addr);
-    auto body = nlohmann::json::parse(bench.sent[0].request.body);
+    PartsFixture fixture;
+    auto& machine = fixture.add_reconciled_machine("vm-1");
+    fixture.add_start("j-1", machine);
+    fixture.commands.flush_all();
+    ASSERT_THAT(fixture.sent, SizeIs(1));
+    EXPECT_EQ(fixture.sent[0].addr, machine.addr);
+    auto body = nlohmann::json::parse(fixture.sent[0].request.body);
     EXPECT_EQ(body["helm"], machine.token.value());
     EXPECT_EQ(body["watch"], machine.agent_epoch.value());
-    EXPECT_THAT(verbs(bench.sent[0].request.body), ElementsAre("run"));
+    EXPECT_THAT(verbs(fixture.sent[0].request.body), ElementsAre("run"));
 }
 
 TEST(CommandSender, SendsNoStartBeforeTheMachineIsStored) {
-    Bench bench;
-    auto& machine = bench.add_reconciled_machine("vm-1");
+    PartsFixture fixture;
+    auto& machine = fixture.add_reconciled_machine("vm-1");
     machine.registration = cluster::Machine::Registration::none;
-    bench.add_start("j-1", machine);
-    bench.machine_store.store_if_new(machine);
-    bench.commands.flush_all();
-    bench.machine_store.flush();
-    bench.commands.flush_all();
-    EXPECT_THAT(bench.sent, IsEmpty()) << "the write of the machine record is still in flight";
-    bench.wait(1);
+    fixture.add_start("j-1", machine);
+    fixture.machine_store.store_if_new(machine);
+    fixture.commands.flush_all();
+    fixture.machine_store.flush();
+    fixture.commands.flush_all();
+    EXPECT_THAT(fixture.sent, IsEmpty()) << "the write of the machine record is still in flight";
+    fixture.wait(1);
     ASSERT_TRUE(machine.is_stored());
-    ASSERT_THAT(bench.sent, SizeIs(1));
-    EXPECT_THAT(verbs(bench.sent[0].request.body), ElementsAre("run"));
+    ASSERT_THAT(fixture.sent, SizeIs(1));
+    EXPECT_THAT(verbs(fixture.sent[0].request.body), ElementsAre("run"));
 }
 
 TEST(CommandSender, SendsNoStartToAMachineThatHasNotReconciled) {
-    Bench bench;
-    auto& machine = bench.add_reconciled_machine("vm-1");
+    PartsFixture fixture;
+    auto& machine = fixture.add_reconciled_machine("vm-1");
     machine.reconciled = false;
-    bench.add_start("j-1", machine);
-    bench.commands.flush_all();
-    EXPECT_THAT(bench.sent, IsEmpty());
+    fixture.add_start("j-1", machine);
+    fixture.commands.flush_all();
+    EXPECT_THAT(fixture.sent, IsEmpty());
 }
 
 TEST(CommandSender, SendsNoStartWithoutAuthority) {
-    Bench bench;
-    auto& machine = bench.add_reconciled_machine("vm-1");
-    auto& instance = bench.add_start("j-1", machine);
-    bench.lose_authority();
-    bench.commands.flush_all();
-    EXPECT_THAT(bench.sent, IsEmpty());
+    PartsFixture fixture;
+    auto& machine = fixture.add_reconciled_machine("vm-1");
+    auto& instance = fixture.add_start("j-1", machine);
+    fixture.lose_authority();
+    fixture.commands.flush_all();
+    EXPECT_THAT(fixture.sent, IsEmpty());
     EXPECT_FALSE(instance.run.highest_token.is_set()) << "no `run` can be in flight";
 }
 
 TEST(CommandSender, KeepsAnInstanceWhoseRunGotNoResponse) {
-    Bench bench;
-    auto& machine = bench.add_reconciled_machine("vm-1");
-    auto& instance = bench.add_start("j-1", machine);
-    bench.commands.flush_all();
-    bench.answer(std::nullopt);
+    PartsFixture fixture;
+    auto& machine = fixture.add_reconciled_machine("vm-1");
+    auto& instance = fixture.add_start("j-1", machine);
+    fixture.commands.flush_all();
+    fixture.answer(std::nullopt);
     EXPECT_TRUE(machine.tasks.contains({"j-1", 0})) << "the `run` may have arrived, or may still arrive";
     EXPECT_EQ(instance.run.direct_in_flight, 0);
     EXPECT_EQ(instance.run.unacknowledged_token, machine.token)
@@ -82,58 +80,58 @@
 }
 
 TEST(CommandSender, RevokesTheDelegationOfAMachineThatItSendsCommandsTo) {
-    Bench bench;
-    auto& machine = bench.add_reconciled_machine("vm-1");
-    bench.delegate("vm-1", "controller-1", bench.timers.now() + 3);
-    bench.add_start("j-1", machine);
-    bench.commands.flush_all();
-    EXPECT_EQ(bench.delegations.count(), 0u)
+    PartsFixture fixture;
+    auto& machine = fixture.add_reconciled_machine("vm-1");
+    fixture.delegate("vm-1", "controller-1", fixture.timers.now() + 3);
+    fixture.add_start("j-1", machine);
+    fixture.commands.flush_all();
+    EXPECT_EQ(fixture.delegations.count(), 0u)
         << "the relay would continue to answer heartbeats without commands";
     ASSERT_TRUE(machine.delegation_expiry);
-    EXPECT_DOUBLE_EQ(*machine.delegation_expiry, bench.timers.now() + 3);
+    EXPECT_DOUBLE_EQ(*machine.delegation_expiry, fixture.timers.now() + 3);
 }
 
 TEST(CommandSender, AppliesTheStatusInTheResponseToAProbe) {
-    Bench bench;
-    auto& machine = bench.add_machine("vm-1");
-    bench.commands.probe(machine);
-    bench.wait(0);
-    ASSERT_THAT(bench.sent, SizeIs(1));
-    EXPECT_THAT(verbs(bench.sent[0].request.body), IsEmpty());
-    bench.answer(answer_of(machine));
-    ASSERT_THAT(bench.statuses, SizeIs(1));
-    EXPECT_EQ(bench.statuses[0].machine, "vm-1");
-    EXPECT_EQ(bench.commands.last_answer_at(), bench.timers.now());
+    PartsFixture fixture;
+    auto& machine = fixture.add_machine("vm-1");
+    fixture.commands.probe(machine);
+    fixture.wait(0);
+    ASSERT_THAT(fixture.sent, SizeIs(1));
+    EXPECT_THAT(verbs(fixture.sent[0].request.body), IsEmpty());
+    fixture.answer(answer_of(machine));
+    ASSERT_THAT(fixture.statuses, SizeIs(1));
+    EXPECT_EQ(fixture.statuses[0].machine, "vm-1");
+    EXPECT_EQ(fixture.commands.last_answer_at(), fixture.timers.now());
     EXPECT_FALSE(machine.probe_pending);
 }
 
 TEST(CommandSender, IgnoresTheStatusOfAnotherMachine) {
-    Bench bench;
-    auto& machine = bench.add_machine("vm-1");
-    auto& other = bench.add_machine("vm-2");  // uses the address of a deleted machine
-    bench.commands.probe(machine);
-    bench.wait(0);
-    bench.answer(answer_of(other));
-    EXPECT_THAT(bench.statuses, IsEmpty());
+    PartsFixture fixture;
+    auto& machine = fixture.add_machine("vm-1");
+    auto& other = fixture.add_machine("vm-2");  // uses the address of a deleted machine
+    fixture.commands.probe(machine);
+    fixture.wait(0);
+    fixture.answer(answer_of(other));
+    EXPECT_THAT(fixture.statuses, IsEmpty());
 }
 
 TEST(CommandSender, IgnoresAResponseAfterTheEndOfTheLeadership) {
-    Bench bench;
-    auto& machine = bench.add_machine("vm-1");
-    bench.commands.probe(machine);
-    bench.wait(0);
-    bench.authority->end();
-    bench.answer(answer_of(machine));
-    EXPECT_THAT(bench.statuses, IsEmpty());
-    EXPECT_FALSE(bench.commands.last_answer_at());
+    PartsFixture fixture;
+    auto& machine = fixture.add_machine("vm-1");
+    fixture.commands.probe(machine);
+    fixture.wait(0);
+    fixture.authority->end();
+    fixture.answer(answer_of(machine));
+    EXPECT_THAT(fixture.statuses, IsEmpty());
+    EXPECT_FALSE(fixture.commands.last_answer_at());
 }
 
 TEST(CommandSender, SendsNoQueuedProbeAfterTheEndOfTheLeadership) {
-    Bench bench;
-    bench.commands.probe(bench.add_machine("vm-1"));
-    bench.authority->end();
-    bench.wait(0);
-    EXPECT_THAT(bench.sent, IsEmpty());
+    PartsFixture fixture;
+    fixture.commands.probe(fixture.add_machine("vm-1"));
+    fixture.authority->end();
+    fixture.wait(0);
+    EXPECT_THAT(fixture.sent, IsEmpty());
 }
 
 }  // namespace
--- a/tests/leader/delegations_test.cpp
+++ b/tests/leader/delegations_test.cpp
@@ -9,8 +9,8 @@
 namespace coralhitch::leader {
 namespace {
 
-struct Bench {
-    Bench() {
+struct DelegationsFixture {
+    DelegationsFixture() {
         machine.lease_renewed_at = 10;
         EXPECT_TRUE(take_message(1, 1));
         delegations.table().delegate("vm-1", "controller-1");
@@ -30,32 +30,32 @@
 };
 
 TEST(Delegations, CountsRenewalsByTheRelayDuringTheDelegation) {
-    Bench bench;
-    EXPECT_EQ(bench.delegations.count(), 1u);
-    EXPECT_DOUBLE_EQ(bench.delegations.last_possible_renewal(bench.machine), 25);
+    DelegationsFixture fixture;
+    EXPECT_EQ(fixture.delegations.count(), 1u);
+    EXPECT_DOUBLE_EQ(fixture.delegations.last_possible_renewal(fixture.machine), 25);
 }
 
 TEST(Delegations, CountsRenewalsByTheRelayAfterTheRevocation) {
-    Bench bench;
-    bench.delegations.revoke("vm-1");
-    EXPECT_EQ(bench.delegations.count(), 0u);
-    EXPECT_EQ(bench.machine.delegation_expiry, 25);
-    EXPECT_DOUBLE_EQ(bench.delegations.last_possible_renewal(bench.machine), 25);
-    bench.machine.lease_renewed_at = 40;
-    EXPECT_DOUBLE_EQ(bench.delegations.last_possible_renewal(bench.machine), 40);
+    DelegationsFixture fixture;
+    fixture.delegations.revoke("vm-1");
+    EXPECT_EQ(fixture.delegations.count(), 0u);
+    EXPECT_EQ(fixture.machine.delegation_expiry, 25);
+    EXPECT_DOUBLE_EQ(fixture.delegations.last_possible_renewal(fixture.machine), 25);
+    fixture.machine.lease_renewed_at = 40;
+    EXPECT_DOUBLE_EQ(fixture.delegations.last_possible_renewal(fixture.machine), 40);
 }
 
 TEST(Delegations, EndsTheDelegationsOfARestartedRelay) {
-    Bench bench;
-    EXPECT_TRUE(bench.take_message(2, 1));
-    EXPECT_EQ(bench.delegations.count(), 0u);
-    EXPECT_EQ(bench.machine.delegation_expiry, 25);
+    DelegationsFixture fixture;
+    EXPECT_TRUE(fixture.take_message(2, 1));
+    EXPECT_EQ(fixture.delegations.count(), 0u);
+    EXPECT_EQ(fixture.machine.delegation_expiry, 25);
 }
 
 TEST(Delegations, RejectsARelaysMessageThatIsOlderThanAPreviousOne) {
-    Bench bench;
-    EXPECT_TRUE(bench.take_message(1, 3));
-    EXPECT_FALSE(bench.take_message(1, 2));
+    DelegationsFixture fixture;
+    EXPECT_TRUE(fixture.take_message(1, 3));
+    EXPECT_FALSE(fixture.take_message(1, 2));
 }
 
 }  // namespace
--- a/tests/leader/fleet_scaler_test.cpp
+++ b/tests/leader/fleet_scaler_test.cpp
@@ -9,8 +9,8 @@
 namespace coralhitch::leader {
 namespace {
 
-struct Bench : LeadingFixture {
-    Bench() {
+struct FleetScalerFixture : LeadingFixture {
+    FleetScalerFixture() {
         service.others = [this](const std::string&, const http::Request& request, double,
                                 http::Result result) {
             bodies.push_back(request.body);
@@ -29,50 +29,50 @@
 };
 
 TEST(FleetScaler, RetriesARequestUnderTheSameNameUntilTheCloudResponds) {
-    Bench bench;
-    ASSERT_TRUE(bench.leads());
-    bench.scaler.scale_out(bench.two);
-    EXPECT_EQ(bench.scaler.autoscaler_input().machines.size(), 2u) << "requested machines count as booting";
-    bench.scaler.retry_unanswered();
-    ASSERT_EQ(bench.bodies.size(), 2u);
-    EXPECT_EQ(bench.bodies[0], bench.bodies[1]);
-    EXPECT_TRUE(bench.state->cluster.machines().empty());
+    FleetScalerFixture fixture;
+    ASSERT_TRUE(fixture.leads());
+    fixture.scaler.scale_out(fixture.two);
+    EXPECT_EQ(fixture.scaler.autoscaler_input().machines.size(), 2u) << "requested machines count as booting";
+    fixture.scaler.retry_unanswered();
+    ASSERT_EQ(fixture.bodies.size(), 2u);
+    EXPECT_EQ(fixture.bodies[0], fixture.bodies[1]);
+    EXPECT_TRUE(fixture.state->cluster.machines().empty());
 
-    bench.answer = http::Response{200, R"({"berths":["vm-1","vm-2"]})"};
-    bench.scaler.retry_unanswered();
-    bench.scaler.retry_unanswered();
-    EXPECT_EQ(bench.bodies.size(), 3u) << "the cloud has responded, so the request is not sent again";
-    ASSERT_EQ(bench.state->cluster.machines().size(), 2u);
-    EXPECT_EQ(bench.state->cluster.find("vm-1")->lifecycle, cluster::Machine::Lifecycle::booting);
-    EXPECT_TRUE(bench.scaler.autoscaler_input().machines.empty());
+    fixture.answer = http::Response{200, R"({"berths":["vm-1","vm-2"]})"};
+    fixture.scaler.retry_unanswered();
+    fixture.scaler.retry_unanswered();
+    EXPECT_EQ(fixture.bodies.size(), 3u) << "the cloud has responded, so the request is not sent again";
+    ASSERT_EQ(fixture.state->cluster.machines().size(), 2u);
+    EXPECT_EQ(fixture.state->cluster.find("vm-1")->lifecycle, cluster::Machine::Lifecycle::booting);
+    EXPECT_TRUE(fixture.scaler.autoscaler_input().machines.empty());
 }
 
 TEST(FleetScaler, ExcludesAPoolWithoutCapacityForSomeTime) {
-    Bench bench;
-    ASSERT_TRUE(bench.leads());
-    bench.answer = http::Response{200, R"({"berths":["vm-1"]})"};  // one of two requested machines
-    bench.scaler.scale_out(bench.two);
-    EXPECT_EQ(bench.scaler.autoscaler_input().pools_without_capacity, std::set<std::size_t>{0});
-    bench.wait(bench.settings.heartbeat_interval_s * 3 + 0.1);
-    EXPECT_TRUE(bench.scaler.autoscaler_input().pools_without_capacity.empty());
+    FleetScalerFixture fixture;
+    ASSERT_TRUE(fixture.leads());
+    fixture.answer = http::Response{200, R"({"berths":["vm-1"]})"};  // one of two requested machines
+    fixture.scaler.scale_out(fixture.two);
+    EXPECT_EQ(fixture.scaler.autoscaler_input().pools_without_capacity, std::set<std::size_t>{0});
+    fixture.wait(fixture.settings.heartbeat_interval_s * 3 + 0.1);
+    EXPECT_TRUE(fixture.scaler.autoscaler_input().pools_without_capacity.empty());
 }
 
 TEST(FleetScaler, SplitsARequestThatExceedsTheLimitOfOneCall) {
-    Bench bench;
-    ASSERT_TRUE(bench.leads());
+    FleetScalerFixture fixture;
+    ASSERT_TRUE(fixture.leads());
     std::vector<autoscaler::ScaleOutRequest> many{{0, cloud::CloudClient::max_machines_per_create + 7}};
-    bench.scaler.scale_out(many);
-    ASSERT_EQ(bench.bodies.size(), 2u);
-    EXPECT_EQ(bench.asked_for(0), cloud::CloudClient::max_machines_per_create);
-    EXPECT_EQ(bench.asked_for(1), 7);
+    fixture.scaler.scale_out(many);
+    ASSERT_EQ(fixture.bodies.size(), 2u);
+    EXPECT_EQ(fixture.asked_for(0), cloud::CloudClient::max_machines_per_create);
+    EXPECT_EQ(fixture.asked_for(1), 7);
 }
 
 TEST(FleetScaler, RequestsNoMachinesOnceTheLeadershipHasEnded) {
-    Bench bench;
-    bench.authority->end();
-    bench.scaler.scale_out(bench.two);
-    bench.scaler.retry_unanswered();
-    EXPECT_TRUE(bench.bodies.empty());
+    FleetScalerFixture fixture;
+    fixture.authority->end();
+    fixture.scaler.scale_out(fixture.two);
+    fixture.scaler.retry_unanswered();
+    EXPECT_TRUE(fixture.bodies.empty());
 }
 
 }  // namespace
--- a/tests/leader/heartbeat_handler_test.cpp
+++ b/tests/leader/heartbeat_handler_test.cpp
@@ -24,8 +24,8 @@
     return settings;
 }
 
-struct Bench : RecoveryFixture {
-    Bench() : RecoveryFixture(settings_without_replication()) {
+struct HeartbeatHandlerFixture : RecoveryFixture {
+    HeartbeatHandlerFixture() : RecoveryFixture(settings_without_replication()) {
         apply_status = [this](const protocol::Heartbeat& status) {
             (void)heartbeats().apply(status, cluster::HeartbeatChannel::direct_reply);
         };
@@ -85,8 +85,8 @@
 };
 
 // A leader that has loaded the jobs, with one machine that has reconciled.
-struct LoadedBench : Bench {
-    LoadedBench() {
+struct LoadedHeartbeatHandlerFixture : HeartbeatHandlerFixture {
+    LoadedHeartbeatHandlerFixture() {
         recover();
         wait(1);
     }
@@ -94,189 +94,190 @@
 };
 
 TEST(HeartbeatHandler, RenewsTheLeaseOfAMachineThatSendsAHeartbeat) {
-    LoadedBench bench;
-    auto response = bench.answer_to(status_of(bench.machine, 2));
+    LoadedHeartbeatHandlerFixture fixture;
+    auto response = fixture.answer_to(status_of(fixture.machine, 2));
     EXPECT_EQ(response.status, 200);
-    EXPECT_EQ(nlohmann::json::parse(response.body)["helm"], bench.machine.token.value());
-    EXPECT_DOUBLE_EQ(bench.machine.lease_renewed_at, bench.timers.now());
+    EXPECT_EQ(nlohmann::json::parse(response.body)["helm"], fixture.machine.token.value());
+    EXPECT_DOUBLE_EQ(fixture.machine.lease_renewed_at, fixture.timers.now());
 }
 
 TEST(HeartbeatHandler, AnswersEarlyHeartbeatsOnceTheJobsAreLoaded) {
-    Bench bench;
-    auto& machine = bench.add_reconciled_machine("vm-1");
+    HeartbeatHandlerFixture fixture;
+    auto& machine = fixture.add_reconciled_machine("vm-1");
     int status = 0;
-    bench.heartbeats().handle({status_of(machine, 2).dump(),
-                               [&](const http::Response& response) { status = response.status; },
-                               bench.timers.now()});
+    fixture.heartbeats().handle({status_of(machine, 2).dump(),
+                                 [&](const http::Response& response) { status = response.status; },
+                                 fixture.timers.now()});
     EXPECT_EQ(status, 0);
-    bench.wait(1);
+    fixture.wait(1);
     EXPECT_EQ(status, 200);
 }
 
 TEST(HeartbeatHandler, RenewsLeasesAfterLosingItsAuthorityOnlyUntilTheDeadline) {
-    LoadedBench bench;
-    bench.lose_authority();
-    EXPECT_EQ(bench.answer_to(status_of(bench.machine, 2)).status, 200);
-    bench.timers.run_until(bench.authority->lease_renewal_deadline() + 0.01);
-    double renewed_at = bench.machine.lease_renewed_at;
-    EXPECT_EQ(bench.answer_to(status_of(bench.machine, 3)).status, 503);
-    EXPECT_EQ(bench.rejected(HeartbeatRejection::renewal_deadline_passed), 1u);
-    EXPECT_DOUBLE_EQ(bench.machine.lease_renewed_at, renewed_at);
+    LoadedHeartbeatHandlerFixture fixture;
+    fixture.lose_authority();
+    EXPECT_EQ(fixture.answer_to(status_of(fixture.machine, 2)).status, 200);
+    fixture.timers.run_until(fixture.authority->lease_renewal_deadline() + 0.01);
+    double renewed_at = fixture.machine.lease_renewed_at;
+    EXPECT_EQ(fixture.answer_to(status_of(fixture.machine, 3)).status, 503);
+    EXPECT_EQ(fixture.rejected(HeartbeatRejection::renewal_deadline_passed), 1u);
+    EXPECT_DOUBLE_EQ(fixture.machine.lease_renewed_at, renewed_at);
 }
 
 TEST(HeartbeatHandler, AnswersNoHeartbeatAfterTheLeadershipsEnd) {
-    LoadedBench bench;
-    double renewed_at = bench.machine.lease_renewed_at;
-    bench.authority->end();
-    EXPECT_EQ(bench.answer_to(status_of(bench.machine, 2)).status, 503);
-    EXPECT_EQ(bench.rejected(HeartbeatRejection::lease_lost), 1u);
-    EXPECT_DOUBLE_EQ(bench.machine.lease_renewed_at, renewed_at);
+    LoadedHeartbeatHandlerFixture fixture;
+    double renewed_at = fixture.machine.lease_renewed_at;
+    fixture.authority->end();
+    EXPECT_EQ(fixture.answer_to(status_of(fixture.machine, 2)).status, 503);
+    EXPECT_EQ(fixture.rejected(HeartbeatRejection::lease_lost), 1u);
+    EXPECT_DOUBLE_EQ(fixture.machine.lease_renewed_at, renewed_at);
 }
 
 TEST(HeartbeatHandler, SendsNoStartWithoutAuthority) {
     for (bool has_authority : {true, false}) {
-        LoadedBench bench;
-        auto& instance = bench.add_start("j-1", bench.machine);
-        instance.run.highest_token = bench.machine.token;  // a direct `run` was sent and may not have arrived
-        if (!has_authority) bench.lose_authority();
-        auto response = bench.answer_to(status_of(bench.machine, 2));
+        LoadedHeartbeatHandlerFixture fixture;
+        auto& instance = fixture.add_start("j-1", fixture.machine);
+        instance.run.highest_token =
+            fixture.machine.token;  // a direct `run` was sent and may not have arrived
+        if (!has_authority) fixture.lose_authority();
+        auto response = fixture.answer_to(status_of(fixture.machine, 2));
         ASSERT_EQ(response.status, 200);
         EXPECT_THAT(verbs(response.body), SizeIs(has_authority ? 1 : 0));
     }
 }
 
 TEST(HeartbeatHandler, StepsDownWhenAnAgentShowsTheTokenOfALaterLeader) {
-    LoadedBench bench;
-    auto status = status_of(bench.machine, 2);
-    status["helm"] = bench.authority->fencing_token().next().value() << cluster::ClusterState::token_bits;
-    EXPECT_EQ(bench.answer_to(status).status, 503);
-    bench.wait(0);
-    EXPECT_FALSE(bench.leads());
+    LoadedHeartbeatHandlerFixture fixture;
+    auto status = status_of(fixture.machine, 2);
+    status["helm"] = fixture.authority->fencing_token().next().value() << cluster::ClusterState::token_bits;
+    EXPECT_EQ(fixture.answer_to(status).status, 503);
+    fixture.wait(0);
+    EXPECT_FALSE(fixture.leads());
 }
 
 TEST(HeartbeatHandler, RejectsADeletedMachine) {
-    LoadedBench bench;
-    auto status = status_of(bench.machine, 2);
-    (void)bench.state->cluster.remove_deleted("vm-1");
-    EXPECT_EQ(bench.answer_to(status).status, 503);
-    EXPECT_EQ(bench.rejected(HeartbeatRejection::outdated), 1u);
+    LoadedHeartbeatHandlerFixture fixture;
+    auto status = status_of(fixture.machine, 2);
+    (void)fixture.state->cluster.remove_deleted("vm-1");
+    EXPECT_EQ(fixture.answer_to(status).status, 503);
+    EXPECT_EQ(fixture.rejected(HeartbeatRejection::outdated), 1u);
 }
 
 TEST(HeartbeatHandler, RenewsNoLeaseForACopyOfTheLastHeartbeat) {
-    LoadedBench bench;
-    auto status = status_of(bench.machine, 2);
-    ASSERT_EQ(bench.answer_to(status).status, 200);
-    double renewed_at = bench.machine.lease_renewed_at;
-    bench.wait(2);
-    EXPECT_EQ(bench.answer_to(status).status, 200) << "the agent may still wait for the answer";
-    EXPECT_DOUBLE_EQ(bench.machine.lease_renewed_at, renewed_at);
+    LoadedHeartbeatHandlerFixture fixture;
+    auto status = status_of(fixture.machine, 2);
+    ASSERT_EQ(fixture.answer_to(status).status, 200);
+    double renewed_at = fixture.machine.lease_renewed_at;
+    fixture.wait(2);
+    EXPECT_EQ(fixture.answer_to(status).status, 200) << "the agent may still wait for the answer";
+    EXPECT_DOUBLE_EQ(fixture.machine.lease_renewed_at, renewed_at);
 }
 
 TEST(HeartbeatHandler, RejectsAMachineThatMayRunACancelledTaskWithoutHavingReceivedAStop) {
-    LoadedBench bench;
-    auto& instance = bench.add_start("j-1", bench.machine);
-    instance.run.highest_token = bench.machine.token;
-    auto unaware = status_of(bench.machine, 2);  // shows the fencing token of that `run`
-    double deadline = bench.timers.now() + 1;
-    bench.state->cluster.cancel(bench.machine, {"j-1", 0}, deadline);
-    EXPECT_EQ(bench.answer_to(unaware).status, 200);
-    bench.timers.run_until(deadline + 0.01);
+    LoadedHeartbeatHandlerFixture fixture;
+    auto& instance = fixture.add_start("j-1", fixture.machine);
+    instance.run.highest_token = fixture.machine.token;
+    auto unaware = status_of(fixture.machine, 2);  // shows the fencing token of that `run`
+    double deadline = fixture.timers.now() + 1;
+    fixture.state->cluster.cancel(fixture.machine, {"j-1", 0}, deadline);
+    EXPECT_EQ(fixture.answer_to(unaware).status, 200);
+    fixture.timers.run_until(deadline + 0.01);
     unaware["tally"] = 3;
-    EXPECT_EQ(bench.answer_to(unaware).status, 503);
-    EXPECT_EQ(bench.rejected(HeartbeatRejection::cancellation_unsent), 1u);
+    EXPECT_EQ(fixture.answer_to(unaware).status, 503);
+    EXPECT_EQ(fixture.rejected(HeartbeatRejection::cancellation_unsent), 1u);
     unaware["tally"] = 4;
     unaware["helm"] =
-        bench.machine.token.value();  // the token of the stop, under which the `run` is rejected
-    EXPECT_EQ(bench.answer_to(unaware).status, 200);
+        fixture.machine.token.value();  // the token of the stop, under which the `run` is rejected
+    EXPECT_EQ(fixture.answer_to(unaware).status, 200);
 }
 
 TEST(HeartbeatHandler, StopsATaskOfAJobThatHasEnded) {
-    LoadedBench bench;
-    auto status = status_of(bench.machine, 2);
+    LoadedHeartbeatHandlerFixture fixture;
+    auto status = status_of(fixture.machine, 2);
     status["shards"] = {running_task("j-over", 3)};
-    auto response = bench.answer_to(status);
+    auto response = fixture.answer_to(status);
     ASSERT_EQ(response.status, 200);
     EXPECT_THAT(verbs(response.body), ElementsAre("kill"));
 }
 
 TEST(HeartbeatHandler, StopsTheOrphanedAttemptOfATaskThatRunsElsewhere) {
-    LoadedBench bench;
-    bench.add_running_task("j-1", bench.add_reconciled_machine("vm-2"));
-    auto status = status_of(bench.machine, 2);
+    LoadedHeartbeatHandlerFixture fixture;
+    fixture.add_running_task("j-1", fixture.add_reconciled_machine("vm-2"));
+    auto status = status_of(fixture.machine, 2);
     status["shards"] = {running_task("j-1", first_attempt - 1)};
-    auto response = bench.answer_to(status);
+    auto response = fixture.answer_to(status);
     ASSERT_EQ(response.status, 200);
     EXPECT_THAT(verbs(response.body), ElementsAre("kill"));
     auto order = nlohmann::json::parse(response.body)["orders"][0];
     EXPECT_EQ(order["launch"], first_attempt - 1);
-    EXPECT_EQ(bench.state->jobs.find("j-1")->active.at(0).machine, "vm-2");
+    EXPECT_EQ(fixture.state->jobs.find("j-1")->active.at(0).machine, "vm-2");
 }
 
 TEST(HeartbeatHandler, RepeatsItsAnswerWhileNothingIsPending) {
-    LoadedBench bench;
-    auto first = bench.answer_to(status_of(bench.machine, 2));
-    bench.wait(2);
-    auto second = bench.answer_to(status_of(bench.machine, 3));
+    LoadedHeartbeatHandlerFixture fixture;
+    auto first = fixture.answer_to(status_of(fixture.machine, 2));
+    fixture.wait(2);
+    auto second = fixture.answer_to(status_of(fixture.machine, 3));
     EXPECT_EQ(second.status, 200);
     EXPECT_EQ(second.body, first.body);
-    EXPECT_DOUBLE_EQ(bench.machine.lease_renewed_at, bench.timers.now());
-    auto& instance = bench.add_running_task("j-1", bench.machine);
+    EXPECT_DOUBLE_EQ(fixture.machine.lease_renewed_at, fixture.timers.now());
+    auto& instance = fixture.add_running_task("j-1", fixture.machine);
     instance.stop_requested = true;
-    auto with_stop = status_of(bench.machine, 4);
-    EXPECT_NE(bench.answer_to(with_stop).body, first.body) << "the stop must be sent";
+    auto with_stop = status_of(fixture.machine, 4);
+    EXPECT_NE(fixture.answer_to(with_stop).body, first.body) << "the stop must be sent";
 }
 
 // If answers do not reach a machine, each would still postpone the time at which its lease counts as expired,
 // and the machine would never reconcile.
 TEST(HeartbeatHandler, RejectsAnOutboundUnreachableMachineUntilItHasReconciled) {
-    Bench bench;
-    bench.store_machine("vm-1");
-    bench.recover();
-    auto& machine = *bench.state->cluster.find("vm-1");
-    bench.timers.run_until(machine.lease_renewed_at + 1);
+    HeartbeatHandlerFixture fixture;
+    fixture.store_machine("vm-1");
+    fixture.recover();
+    auto& machine = *fixture.state->cluster.find("vm-1");
+    fixture.timers.run_until(machine.lease_renewed_at + 1);
     for (int change = 0; change < 2; ++change)
-        machine.reachability.record_heartbeat(false, bench.timers.now());
+        machine.reachability.record_heartbeat(false, fixture.timers.now());
     auto status = status_of(machine, 2);
     status["helm"] = 0;
     double renewed_at = machine.lease_renewed_at;
-    EXPECT_EQ(bench.answer_to(status).status, 503);
-    EXPECT_EQ(bench.rejected(HeartbeatRejection::outbound_unreachable), 1u);
+    EXPECT_EQ(fixture.answer_to(status).status, 503);
+    EXPECT_EQ(fixture.rejected(HeartbeatRejection::outbound_unreachable), 1u);
     EXPECT_DOUBLE_EQ(machine.lease_renewed_at, renewed_at) << "otherwise its lease would never expire";
 }
 
 TEST(HeartbeatHandler, DelegatesAQuietMachineToItsRelayNoLongerThanLeasesMayBeRenewed) {
-    LoadedBench bench;
-    bench.lose_authority();
-    bench.timers.run_until(bench.authority->lease_renewal_deadline() - 1);
-    auto relay_answer = bench.answer_to(bench.relayed(status_of(bench.machine, 2)));
+    LoadedHeartbeatHandlerFixture fixture;
+    fixture.lose_authority();
+    fixture.timers.run_until(fixture.authority->lease_renewal_deadline() - 1);
+    auto relay_answer = fixture.answer_to(fixture.relayed(status_of(fixture.machine, 2)));
     ASSERT_THAT(relay_answer.replies, SizeIs(1));
     EXPECT_EQ(relay_answer.replies[0].status, 200);
-    EXPECT_EQ(bench.delegations.count(), 1u);
+    EXPECT_EQ(fixture.delegations.count(), 1u);
     EXPECT_LE(relay_answer.delegation_ms, 1000u);
-    double granted_until = bench.timers.now() + static_cast<double>(relay_answer.delegation_ms) / 1000;
-    EXPECT_GE(bench.delegations.last_possible_renewal(bench.machine), granted_until);
+    double granted_until = fixture.timers.now() + static_cast<double>(relay_answer.delegation_ms) / 1000;
+    EXPECT_GE(fixture.delegations.last_possible_renewal(fixture.machine), granted_until);
 }
 
 TEST(HeartbeatHandler, DelegatesNoMachineForWhichACommandIsDue) {
-    LoadedBench bench;
-    bench.add_running_task("j-1", bench.machine).stop_requested = true;
-    bench.commands.flush_all();  // the direct stop may not have arrived
-    auto status = status_of(bench.machine, 2);
+    LoadedHeartbeatHandlerFixture fixture;
+    fixture.add_running_task("j-1", fixture.machine).stop_requested = true;
+    fixture.commands.flush_all();  // the direct stop may not have arrived
+    auto status = status_of(fixture.machine, 2);
     status["shards"] = {running_task("j-1", first_attempt)};
-    auto relay_answer = bench.answer_to(bench.relayed(status));
+    auto relay_answer = fixture.answer_to(fixture.relayed(status));
     ASSERT_THAT(relay_answer.replies, SizeIs(1));
     EXPECT_THAT(verbs(relay_answer.replies[0].body), ElementsAre("kill"));
-    EXPECT_EQ(bench.delegations.count(), 0u);
+    EXPECT_EQ(fixture.delegations.count(), 0u);
 }
 
 TEST(HeartbeatHandler, IgnoresARelaysMessageForAnotherLeadership) {
-    LoadedBench bench;
-    auto message = bench.relayed(status_of(bench.machine, 2));
+    LoadedHeartbeatHandlerFixture fixture;
+    auto message = fixture.relayed(status_of(fixture.machine, 2));
     message.leader_version = message.leader_version.next();
-    auto relay_answer = bench.answer_to(message);
+    auto relay_answer = fixture.answer_to(message);
     EXPECT_FALSE(relay_answer.is_leader);
     EXPECT_THAT(relay_answer.replies, IsEmpty());
-    EXPECT_EQ(bench.machine.sequence, protocol::SequenceNumber{1});
+    EXPECT_EQ(fixture.machine.sequence, protocol::SequenceNumber{1});
 }
 
 }  // namespace
--- a/tests/leader/job_store_test.cpp
+++ b/tests/leader/job_store_test.cpp
@@ -15,7 +15,7 @@
 using TxnFate = FakeKeyValueStore::TxnFate;
 namespace keys = kv::keys;
 
-struct Bench : LeadingFixture {
+struct JobStoreFixture : LeadingFixture {
     // Returns whether the key-value store has this key.
     bool stored(const std::string& key) { return service.kv.contains(key); }
     // Marks all tasks of the job as done.
@@ -56,123 +56,123 @@
 };
 
 TEST(JobStore, StoresTheEndOfAJobAndRemovesItFromTheTable) {
-    Bench bench;
-    ASSERT_TRUE(bench.leads());
-    bench.add_job("j-000001", 2);
-    bench.complete("j-000001");
-    bench.store();
-    EXPECT_EQ(bench.state->jobs.find("j-000001"), nullptr);
-    EXPECT_FALSE(bench.stored(keys::job("j-000001")));
-    ASSERT_TRUE(bench.stored(keys::final("j-000001")));
-    EXPECT_EQ(protocol::parse_final_record(bench.service.kv[keys::final("j-000001")].value.dump()).state,
+    JobStoreFixture fixture;
+    ASSERT_TRUE(fixture.leads());
+    fixture.add_job("j-000001", 2);
+    fixture.complete("j-000001");
+    fixture.store();
+    EXPECT_EQ(fixture.state->jobs.find("j-000001"), nullptr);
+    EXPECT_FALSE(fixture.stored(keys::job("j-000001")));
+    ASSERT_TRUE(fixture.stored(keys::final("j-000001")));
+    EXPECT_EQ(protocol::parse_final_record(fixture.service.kv[keys::final("j-000001")].value.dump()).state,
               protocol::JobState::done);
 }
 
 TEST(JobStore, StoresTheProgressOfAJobThatIsNotDone) {
-    Bench bench;
-    ASSERT_TRUE(bench.leads());
-    auto& job = bench.add_job("j-000001", 2);
+    JobStoreFixture fixture;
+    ASSERT_TRUE(fixture.leads());
+    auto& job = fixture.add_job("j-000001", 2);
     job.mark_done(0);
-    bench.store();
+    fixture.store();
     EXPECT_TRUE(job.unstored_tasks.empty());
     ASSERT_EQ(job.block_versions.size(), 1u);
-    EXPECT_TRUE(bench.stored(keys::progress_of("j-000001", job.block_versions.begin()->first)));
+    EXPECT_TRUE(fixture.stored(keys::progress_of("j-000001", job.block_versions.begin()->first)));
     EXPECT_FALSE(job.write_in_flight);
 }
 
 TEST(JobStore, DetectsThatAnEndWasStoredAlthoughTheAnswerWasLost) {
-    Bench bench;
-    ASSERT_TRUE(bench.leads());
-    bench.add_job("j-000001", 1);
-    bench.complete("j-000001");
-    bench.service.txn_fates = {TxnFate::answer_lost};
-    bench.store();
-    EXPECT_EQ(bench.state->jobs.find("j-000001"), nullptr);
-    EXPECT_TRUE(bench.stored(keys::final("j-000001")));
+    JobStoreFixture fixture;
+    ASSERT_TRUE(fixture.leads());
+    fixture.add_job("j-000001", 1);
+    fixture.complete("j-000001");
+    fixture.service.txn_fates = {TxnFate::answer_lost};
+    fixture.store();
+    EXPECT_EQ(fixture.state->jobs.find("j-000001"), nullptr);
+    EXPECT_TRUE(fixture.stored(keys::final("j-000001")));
 }
 
 TEST(JobStore, AppliesACancellationThatConflictsWithTheWriteOfAnEnd) {
-    Bench bench;
-    ASSERT_TRUE(bench.leads());
-    auto record = protocol::JobRecord{*bench.add_job("j-000001", 1).spec, 1, true};
-    bench.complete("j-000001");
-    bench.service.kv[keys::job("j-000001")] = {nlohmann::json::parse(protocol::stored(record)),
-                                               ++bench.service.revision};
-    bench.store();
-    EXPECT_EQ(bench.cancelled, std::vector<std::string>{"j-000001"});
-    EXPECT_EQ(protocol::parse_final_record(bench.service.kv[keys::final("j-000001")].value.dump()).state,
+    JobStoreFixture fixture;
+    ASSERT_TRUE(fixture.leads());
+    auto record = protocol::JobRecord{*fixture.add_job("j-000001", 1).spec, 1, true};
+    fixture.complete("j-000001");
+    fixture.service.kv[keys::job("j-000001")] = {nlohmann::json::parse(protocol::stored(record)),
+                                                 ++fixture.service.revision};
+    fixture.store();
+    EXPECT_EQ(fixture.cancelled, std::vector<std::string>{"j-000001"});
+    EXPECT_EQ(protocol::parse_final_record(fixture.service.kv[keys::final("j-000001")].value.dump()).state,
               protocol::JobState::cancelled);
 }
 
 TEST(JobStore, WritesNothingOnceTheLeadershipHasEnded) {
-    Bench bench;
-    bench.add_job("j-000001", 1);
-    bench.complete("j-000001");
-    bench.authority->end();
-    bench.store();
-    EXPECT_FALSE(bench.stored(keys::final("j-000001")));
+    JobStoreFixture fixture;
+    fixture.add_job("j-000001", 1);
+    fixture.complete("j-000001");
+    fixture.authority->end();
+    fixture.store();
+    EXPECT_FALSE(fixture.stored(keys::final("j-000001")));
 }
 
 TEST(JobWatcher, CancelsAJobOnce) {
-    Bench bench;
-    auto& job = bench.add_job("j-000001", 1);
-    EXPECT_TRUE(bench.watcher.apply_cancellation("j-000001", job.version + 1));
-    EXPECT_FALSE(bench.watcher.apply_cancellation("j-000001", job.version + 1));
-    EXPECT_FALSE(bench.watcher.apply_cancellation("not read yet", 9));
-    EXPECT_EQ(bench.cancelled, std::vector<std::string>{"j-000001"});
+    JobStoreFixture fixture;
+    auto& job = fixture.add_job("j-000001", 1);
+    EXPECT_TRUE(fixture.watcher.apply_cancellation("j-000001", job.version + 1));
+    EXPECT_FALSE(fixture.watcher.apply_cancellation("j-000001", job.version + 1));
+    EXPECT_FALSE(fixture.watcher.apply_cancellation("not read yet", 9));
+    EXPECT_EQ(fixture.cancelled, std::vector<std::string>{"j-000001"});
 }
 
 TEST(JobWatcher, StopsACancelledJobWhoseRecordCannotBeRead) {
-    Bench bench;
-    auto& job = bench.add_job("j-000001", 1);
-    EXPECT_FALSE(bench.watcher.apply_record("j-000001", job.version + 1, R"({"cancelled":false})"));
-    EXPECT_TRUE(bench.cancelled.empty());
-    EXPECT_TRUE(bench.watcher.apply_record("j-000001", job.version + 2, R"({"cancelled":true})"));
-    EXPECT_EQ(bench.cancelled, std::vector<std::string>{"j-000001"});
+    JobStoreFixture fixture;
+    auto& job = fixture.add_job("j-000001", 1);
+    EXPECT_FALSE(fixture.watcher.apply_record("j-000001", job.version + 1, R"({"cancelled":false})"));
+    EXPECT_TRUE(fixture.cancelled.empty());
+    EXPECT_TRUE(fixture.watcher.apply_record("j-000001", job.version + 2, R"({"cancelled":true})"));
+    EXPECT_EQ(fixture.cancelled, std::vector<std::string>{"j-000001"});
 }
 
 TEST(JobWatcher, AuditAddsAJobThatTheWatchMissed) {
-    Bench bench;
-    ASSERT_TRUE(bench.leads());
-    bench.add_job("j-000001", 1);
-    protocol::JobRecord missed{*bench.state->jobs.find("j-000001")->spec, 1, false};
+    JobStoreFixture fixture;
+    ASSERT_TRUE(fixture.leads());
+    fixture.add_job("j-000001", 1);
+    protocol::JobRecord missed{*fixture.state->jobs.find("j-000001")->spec, 1, false};
     missed.job.id = "j-000002";
-    bench.service.kv[keys::job("j-000002")] = {nlohmann::json::parse(protocol::stored(missed)),
-                                               ++bench.service.revision};
-    bench.timers.run_until(bench.settings.lease_s * 5);
-    bench.watcher.audit();
-    bench.wait(1);
-    EXPECT_NE(bench.state->jobs.find("j-000002"), nullptr);
-    EXPECT_GT(bench.plans, 0);
+    fixture.service.kv[keys::job("j-000002")] = {nlohmann::json::parse(protocol::stored(missed)),
+                                                 ++fixture.service.revision};
+    fixture.timers.run_until(fixture.settings.lease_s * 5);
+    fixture.watcher.audit();
+    fixture.wait(1);
+    EXPECT_NE(fixture.state->jobs.find("j-000002"), nullptr);
+    EXPECT_GT(fixture.plans, 0);
 }
 
 TEST(DependencyResolver, ReleasesAJobWhoseDependencyIsDone) {
-    Bench bench;
-    ASSERT_TRUE(bench.leads());
-    auto& job = bench.add_job("j-000002", 1, {"j-000001"});
-    bench.resolver.resolve();
-    bench.wait(1);
+    JobStoreFixture fixture;
+    ASSERT_TRUE(fixture.leads());
+    auto& job = fixture.add_job("j-000002", 1, {"j-000001"});
+    fixture.resolver.resolve();
+    fixture.wait(1);
     EXPECT_TRUE(job.is_blocked()) << "there is no final record yet";
-    bench.store_final("j-000001", protocol::JobState::done);
-    bench.resolver.resolve();
-    bench.wait(1);
+    fixture.store_final("j-000001", protocol::JobState::done);
+    fixture.resolver.resolve();
+    fixture.wait(1);
     EXPECT_TRUE(job.is_blocked()) << "the final record is read only once between two calls of retry";
-    bench.resolver.retry();
-    bench.wait(1);
+    fixture.resolver.retry();
+    fixture.wait(1);
     EXPECT_FALSE(job.is_blocked());
     EXPECT_FALSE(job.cancelled);
-    EXPECT_EQ(bench.plans, 1);
+    EXPECT_EQ(fixture.plans, 1);
 }
 
 TEST(DependencyResolver, CancelsAJobWhoseDependencyWasCancelled) {
-    Bench bench;
-    ASSERT_TRUE(bench.leads());
-    bench.add_job("j-000002", 1, {"j-000001"});
-    bench.store_final("j-000001", protocol::JobState::cancelled);
-    bench.resolver.resolve();
-    bench.wait(1);
+    JobStoreFixture fixture;
+    ASSERT_TRUE(fixture.leads());
+    fixture.add_job("j-000002", 1, {"j-000001"});
+    fixture.store_final("j-000001", protocol::JobState::cancelled);
+    fixture.resolver.resolve();
+    fixture.wait(1);
     // The job is removed from the table only after it has been cancelled and its end has been stored.
-    EXPECT_EQ(bench.state->jobs.find("j-000002"), nullptr);
+    EXPECT_EQ(fixture.state->jobs.find("j-000002"), nullptr);
 }
 
 }  // namespace
--- a/tests/leader/machine_store_test.cpp
+++ b/tests/leader/machine_store_test.cpp
@@ -9,7 +9,7 @@
 namespace coralhitch::leader {
 namespace {
 
-struct Bench : LeadingFixture {
+struct MachineStoreFixture : LeadingFixture {
     cluster::Machine& add_machine(std::uint64_t agent_epoch) {
         auto& machine = state->cluster.add("vm-1", "10.1.0.1:9", "g4", "a", false,
                                            cluster::Machine::Lifecycle::up, timers.now());
@@ -21,49 +21,50 @@
 };
 
 TEST(MachineStore, MakesInstancesReadyOnceTheirMachineIsStored) {
-    Bench bench;
-    auto& machine = bench.add_machine(1);
-    auto& job = bench.add_job("j-1", 1);
-    auto& instance = bench.state->cluster.place(machine, {"j-1", 0}, job.spec, protocol::AttemptNumber{5}, 0);
+    MachineStoreFixture fixture;
+    auto& machine = fixture.add_machine(1);
+    auto& job = fixture.add_job("j-1", 1);
+    auto& instance =
+        fixture.state->cluster.place(machine, {"j-1", 0}, job.spec, protocol::AttemptNumber{5}, 0);
     EXPECT_FALSE(instance.machine_stored);
-    bench.store.store_if_new(machine);
+    fixture.store.store_if_new(machine);
     EXPECT_TRUE(machine.registration == cluster::Machine::Registration::write_pending);
     EXPECT_FALSE(machine.is_stored());
-    bench.store.flush();
-    bench.wait(5);
+    fixture.store.flush();
+    fixture.wait(5);
     EXPECT_TRUE(machine.is_stored());
     EXPECT_TRUE(instance.machine_stored);
-    EXPECT_EQ(bench.confirmed, 1);
+    EXPECT_EQ(fixture.confirmed, 1);
 }
 
 TEST(MachineStore, StoresOnlyMachinesThatHaveSentAStatusToThisLeader) {
-    Bench bench;
-    auto& machine = bench.add_machine(0);
-    bench.store.store_if_new(machine);
+    MachineStoreFixture fixture;
+    auto& machine = fixture.add_machine(0);
+    fixture.store.store_if_new(machine);
     EXPECT_FALSE(machine.registration == cluster::Machine::Registration::write_pending)
         << "its agent has sent no status";
     machine.agent_epoch = protocol::AgentEpoch{1};
     machine.token_seen =
         protocol::FencingToken{3};  // of an earlier leader: the machine may have been deleted since
-    bench.store.store_if_new(machine);
+    fixture.store.store_if_new(machine);
     EXPECT_FALSE(machine.registration == cluster::Machine::Registration::write_pending);
     machine.reported_to_this_leader = true;
-    bench.store.store_if_new(machine);
+    fixture.store.store_if_new(machine);
     EXPECT_TRUE(machine.registration == cluster::Machine::Registration::write_pending);
 }
 
 TEST(MachineStore, AllowsADeletionOnceItsMarkIsStored) {
-    Bench bench;
-    auto& machine = bench.add_machine(1);
-    bench.store.store_if_new(machine);
-    bench.store.flush();
-    bench.wait(5);
+    MachineStoreFixture fixture;
+    auto& machine = fixture.add_machine(1);
+    fixture.store.store_if_new(machine);
+    fixture.store.flush();
+    fixture.wait(5);
     ASSERT_TRUE(machine.is_stored());
     machine.lifecycle = cluster::Machine::Lifecycle::marked_for_deletion;
-    bench.store.update(machine.id);
-    bench.store.flush();
+    fixture.store.update(machine.id);
+    fixture.store.flush();
     EXPECT_FALSE(machine.deletion == cluster::Machine::Deletion::allowed);
-    bench.wait(5);
+    fixture.wait(5);
     EXPECT_TRUE(machine.deletion == cluster::Machine::Deletion::allowed);
 }
 
--- a/tests/leader/stale_key_remover_test.cpp
+++ b/tests/leader/stale_key_remover_test.cpp
@@ -9,8 +9,8 @@
 namespace coralhitch::leader {
 namespace {
 
-struct Bench : LeadingFixture {
-    explicit Bench(std::size_t count) {
+struct StaleKeyRemoverFixture : LeadingFixture {
+    explicit StaleKeyRemoverFixture(std::size_t count) {
         for (std::size_t index = 0; index < count; ++index) {
             auto key = kv::keys::progress_of("j-1", std::to_string(index));
             service.kv[key] = {nlohmann::json::array(), ++service.revision};
@@ -31,37 +31,37 @@
 };
 
 TEST(StaleKeyRemover, RemovesNoMoreAtOnceThanATransactionMayHold) {
-    Bench bench(30);
-    int transactions = bench.service.requests["txn"];
-    bench.remover.remove_some();
-    bench.remover.remove_some();
-    bench.wait(5);
-    EXPECT_EQ(bench.service.requests["txn"], transactions + 1) << "only one transaction at a time";
-    EXPECT_EQ(bench.left(), 30 - bench.settings.txn_ops);
-    bench.remove_some();
-    EXPECT_EQ(bench.left(), 0u);
+    StaleKeyRemoverFixture fixture(30);
+    int transactions = fixture.service.requests["txn"];
+    fixture.remover.remove_some();
+    fixture.remover.remove_some();
+    fixture.wait(5);
+    EXPECT_EQ(fixture.service.requests["txn"], transactions + 1) << "only one transaction at a time";
+    EXPECT_EQ(fixture.left(), 30 - fixture.settings.txn_ops);
+    fixture.remove_some();
+    EXPECT_EQ(fixture.left(), 0u);
 }
 
 TEST(StaleKeyRemover, RemovesNothingWithoutAuthority) {
-    Bench bench(1);
-    bench.lose_authority();
-    bench.remove_some();
-    EXPECT_EQ(bench.left(), 1u);
+    StaleKeyRemoverFixture fixture(1);
+    fixture.lose_authority();
+    fixture.remove_some();
+    EXPECT_EQ(fixture.left(), 1u);
 }
 
 TEST(StaleKeyRemover, RemovesNothingAfterALaterLeaderWasElected) {
-    Bench bench(1);
-    bench.service.kv[kv::keys::leader].version = ++bench.service.revision;
-    bench.remove_some();
-    EXPECT_EQ(bench.left(), 1u);
+    StaleKeyRemoverFixture fixture(1);
+    fixture.service.kv[kv::keys::leader].version = ++fixture.service.revision;
+    fixture.remove_some();
+    EXPECT_EQ(fixture.left(), 1u);
 }
 
 TEST(StaleKeyRemover, RetriesARemovalThatWasNotConfirmed) {
-    Bench bench(1);
-    bench.service.txn_fates = {FakeKeyValueStore::TxnFate::never_executed};
-    bench.remove_some();
-    bench.remove_some();
-    EXPECT_EQ(bench.left(), 0u);
+    StaleKeyRemoverFixture fixture(1);
+    fixture.service.txn_fates = {FakeKeyValueStore::TxnFate::never_executed};
+    fixture.remove_some();
+    fixture.remove_some();
+    EXPECT_EQ(fixture.left(), 0u);
 }
 
 }  // namespace
--- a/tests/leader/start_replication_test.cpp
+++ b/tests/leader/start_replication_test.cpp
@@ -26,8 +26,9 @@
     return settings;
 }
 
-struct Bench : PartsFixture {
-    explicit Bench(bool replicates_starts = true) : PartsFixture(settings_with_follower(replicates_starts)) {
+struct StartReplicationFixture : PartsFixture {
+    explicit StartReplicationFixture(bool replicates_starts = true)
+        : PartsFixture(settings_with_follower(replicates_starts)) {
         ping.label = follower_label;
         ping.incarnation = follower_incarnation;
         ping.features = protocol::peer_features::latest;
@@ -74,90 +75,90 @@
 };
 
 TEST(StartReplication, HoldsAStartUntilTheFollowerHasAcknowledgedIt) {
-    Bench bench;
-    auto& machine = bench.add_reconciled_machine("vm-1");
-    bench.begin_in_sync();
-    bench.start("j-1", machine);
-    EXPECT_THAT(bench.started_on(), IsEmpty());
-    bench.acknowledge();
-    EXPECT_THAT(bench.started_on(), ElementsAre(machine.addr));
-    auto& rows = bench.follower.replica().machines;
+    StartReplicationFixture fixture;
+    auto& machine = fixture.add_reconciled_machine("vm-1");
+    fixture.begin_in_sync();
+    fixture.start("j-1", machine);
+    EXPECT_THAT(fixture.started_on(), IsEmpty());
+    fixture.acknowledge();
+    EXPECT_THAT(fixture.started_on(), ElementsAre(machine.addr));
+    auto& rows = fixture.follower.replica().machines;
     ASSERT_TRUE(rows.contains("vm-1"));
     ASSERT_EQ(rows.at("vm-1").tasks.size(), 1u);
     EXPECT_EQ(rows.at("vm-1").tasks[0].attempt, protocol::AttemptNumber{first_attempt});
 }
 
 TEST(StartReplication, HoldsOnlyStartsThatTheFollowerLacks) {
-    Bench bench;
-    auto& first = bench.add_reconciled_machine("vm-1");
-    auto& second = bench.add_reconciled_machine("vm-2");
-    bench.begin_in_sync();
-    bench.start("j-1", first);
-    bench.start("j-2", second);  // the batch with the first start is still in flight
-    bench.acknowledge();
-    EXPECT_THAT(bench.started_on(), ElementsAre(first.addr));
-    bench.acknowledge();
-    EXPECT_THAT(bench.started_on(), ElementsAre(first.addr, second.addr));
+    StartReplicationFixture fixture;
+    auto& first = fixture.add_reconciled_machine("vm-1");
+    auto& second = fixture.add_reconciled_machine("vm-2");
+    fixture.begin_in_sync();
+    fixture.start("j-1", first);
+    fixture.start("j-2", second);  // the batch with the first start is still in flight
+    fixture.acknowledge();
+    EXPECT_THAT(fixture.started_on(), ElementsAre(first.addr));
+    fixture.acknowledge();
+    EXPECT_THAT(fixture.started_on(), ElementsAre(first.addr, second.addr));
 }
 
 TEST(StartReplication, HoldsStartsUntilItsRecordHasReplacedTheRecordOfThePreviousLeader) {
-    Bench bench;
-    bench.ping.features = 0;  // the peer does not support following
-    auto& machine = bench.add_reconciled_machine("vm-1");
-    bench.service.txn_fates = {FakeKeyValueStore::TxnFate::never_executed};
-    bench.replication.begin(0, std::nullopt);
-    bench.start("j-1", machine);
-    bench.wait(0.5);
-    EXPECT_THAT(bench.started_on(), IsEmpty())
+    StartReplicationFixture fixture;
+    fixture.ping.features = 0;  // the peer does not support following
+    auto& machine = fixture.add_reconciled_machine("vm-1");
+    fixture.service.txn_fates = {FakeKeyValueStore::TxnFate::never_executed};
+    fixture.replication.begin(0, std::nullopt);
+    fixture.start("j-1", machine);
+    fixture.wait(0.5);
+    EXPECT_THAT(fixture.started_on(), IsEmpty())
         << "a controller named by the old record would assume that it knows all starts";
-    bench.wait(10);
-    ASSERT_TRUE(bench.service.kv.contains(kv::keys::in_sync_replicas));
-    EXPECT_THAT(bench.started_on(), ElementsAre(machine.addr));
+    fixture.wait(10);
+    ASSERT_TRUE(fixture.service.kv.contains(kv::keys::in_sync_replicas));
+    EXPECT_THAT(fixture.started_on(), ElementsAre(machine.addr));
 }
 
 TEST(StartReplication, RemovesAnUnresponsiveFollowerFromTheRecordBeforeTheStart) {
-    Bench bench;
-    auto& machine = bench.add_reconciled_machine("vm-1");
-    bench.begin_in_sync();
-    bench.start("j-1", machine);
-    bench.wait(bench.settings.heartbeat_interval_s / 5 + 0.01);
-    bench.ping.features = 0;
-    bench.answer(std::nullopt);
-    EXPECT_THAT(bench.started_on(), IsEmpty()) << "the record still names the follower";
-    bench.wait(1);
-    EXPECT_EQ(bench.service.kv[kv::keys::in_sync_replicas].value["members"].size(), 0u);
-    EXPECT_THAT(bench.started_on(), ElementsAre(machine.addr));
+    StartReplicationFixture fixture;
+    auto& machine = fixture.add_reconciled_machine("vm-1");
+    fixture.begin_in_sync();
+    fixture.start("j-1", machine);
+    fixture.wait(fixture.settings.heartbeat_interval_s / 5 + 0.01);
+    fixture.ping.features = 0;
+    fixture.answer(std::nullopt);
+    EXPECT_THAT(fixture.started_on(), IsEmpty()) << "the record still names the follower";
+    fixture.wait(1);
+    EXPECT_EQ(fixture.service.kv[kv::keys::in_sync_replicas].value["members"].size(), 0u);
+    EXPECT_THAT(fixture.started_on(), ElementsAre(machine.addr));
 }
 
 TEST(StartReplication, HoldsNoStartIfReplicationIsSwitchedOff) {
-    Bench bench(false);
-    auto& machine = bench.add_reconciled_machine("vm-1");
-    bench.replication.begin(0, std::nullopt);
-    bench.start("j-1", machine);
-    EXPECT_THAT(bench.started_on(), ElementsAre(machine.addr));
-    EXPECT_FALSE(bench.batch_waits());
+    StartReplicationFixture fixture(false);
+    auto& machine = fixture.add_reconciled_machine("vm-1");
+    fixture.replication.begin(0, std::nullopt);
+    fixture.start("j-1", machine);
+    EXPECT_THAT(fixture.started_on(), ElementsAre(machine.addr));
+    EXPECT_FALSE(fixture.batch_waits());
 }
 
 TEST(StartReplication, ReplicatesWhetherAllInstancesOfAMachineAreKnown) {
-    Bench bench;
-    bench.add_reconciled_machine("vm-1");
-    bench.add_machine("vm-2");  // stored by an earlier leader, not reconciled
-    bench.add_machine("vm-3").lifecycle = Machine::Lifecycle::booting;
-    bench.begin_in_sync();
-    auto& rows = bench.follower.replica().machines;
+    StartReplicationFixture fixture;
+    fixture.add_reconciled_machine("vm-1");
+    fixture.add_machine("vm-2");  // stored by an earlier leader, not reconciled
+    fixture.add_machine("vm-3").lifecycle = Machine::Lifecycle::booting;
+    fixture.begin_in_sync();
+    auto& rows = fixture.follower.replica().machines;
     EXPECT_TRUE(rows.at("vm-1").tasks_known);
     EXPECT_FALSE(rows.at("vm-2").tasks_known);
     EXPECT_FALSE(rows.contains("vm-3")) << "no command can have been sent to a booting machine";
 }
 
 TEST(StartReplication, SendsNoHeldStartAfterTheEndOfTheLeadership) {
-    Bench bench;
-    auto& machine = bench.add_reconciled_machine("vm-1");
-    bench.begin_in_sync();
-    bench.start("j-1", machine);
-    bench.authority->end();
-    bench.acknowledge();
-    EXPECT_THAT(bench.started_on(), IsEmpty());
+    StartReplicationFixture fixture;
+    auto& machine = fixture.add_reconciled_machine("vm-1");
+    fixture.begin_in_sync();
+    fixture.start("j-1", machine);
+    fixture.authority->end();
+    fixture.acknowledge();
+    EXPECT_THAT(fixture.started_on(), IsEmpty());
     EXPECT_FALSE(machine.tasks.at({"j-1", 0}).replicated);
 }
 
