--- a/tests/scenarios/fault_scenarios_test.cpp
+++ b/tests/scenarios/fault_scenarios_test.cpp
@@ -27,6 +27,14 @@
         expect_rules_kept(seed, draw_faults(seed, machines));
 }
 
+// Guards against a start that puts a team above its limit after controllers, machines and a zone have failed
+// together.
+TEST(FaultScenario, KeepsTeamLimitsUnderTheFaultsOfSeed2234) {
+    spdlog::set_level(spdlog::level::off);
+    constexpr std::uint64_t seed = 2234;
+    expect_rules_kept(seed, draw_faults(seed, machines));
+}
+
 // Covers each pair of kinds once, with a few pairs in each scenario.
 class FaultPairs : public testing::TestWithParam<std::uint64_t> {};
 INSTANTIATE_TEST_SUITE_P(AllPairs, FaultPairs, testing::Range<std::uint64_t>(0, 16), Numbered{"Part"});
