--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -89,7 +89,7 @@
                     await reader.read()  # until the peer closes the connection
                     return
                 status, content = answer
-                data = json.dumps(content).encode()
+                data = json.dumps(content, separators=(",", ":")).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
                              % (status, len(data)) + data)
                 await writer.drain()
@@ -113,7 +113,7 @@
         async def exchange():
             nonlocal writer
             reader, writer = await asyncio.open_connection(HOST, port)
-            data = b"" if body is None else json.dumps(body).encode()
+            data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
             writer.write(("%s %s HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: %d\r\n"
                           "Connection: close\r\n\r\n" % (method, target, len(data))).encode() + data)
             line, _, content = await read_message(reader)
