--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -435,6 +435,7 @@
         self.images = set()
         self.node = random.randrange(cluster.nodes)
         self.warning_at = None
+        self.direct = []  # what came to /do, so that a case can deliver a copy again
         self.hung_until = 0.0
         self.reaches = lambda node: True
         self.hears = lambda helm: True
@@ -467,6 +468,17 @@
         self.drop_tasks(why)
         self.cluster.record("%s gone: %s" % (self.berth, why))
 
+    def come_back(self):
+        """The machine stopped and is back at once, under its name and address: its worker begins anew."""
+        self.cluster.record("%s stops and is back" % self.berth)
+        self.drop_tasks("the machine stopped")
+        self.watch, self.tally, self.helm, self.helm_reported = 1, 0, 0, 0.0
+        self.images.clear()
+        self.answered_at = time.monotonic()
+        for job in self.jobs:
+            job.cancel()
+        self.jobs = [asyncio.ensure_future(self.report_forever()), asyncio.ensure_future(self.watch_lease())]
+
     def drop_tasks(self, why):
         for (shard, launch), task in list(self.tasks.items()):
             if task["status"] != "exited":
@@ -516,12 +528,16 @@
             self.changed.clear()
             sent, watch = time.monotonic(), self.watch
             body = self.report()
+            self.cluster.record("%s reports to %s: session %d, tally %d, helm %d, %s" % (
+                self.berth, self.cluster.labels[self.node], self.watch, self.tally, self.helm,
+                ["%s %s" % (row["shard"], row["status"]) for row in body["shards"][:3]]))
             if self.reaches(self.node):
                 answer = await request(self.cluster.public_ports[self.node], "POST", "/hello", body, 4.0,
                                        lambda size: self.cluster.too_long(self, "a line of a response", size))
             else:
                 await asyncio.sleep(4.0)
                 answer = None
+            self.cluster.record("%s gets %s" % (self.berth, answer[0] if answer else "no answer"))
             await self.hang()
             self.check_lease()
             if answer and not self.reaches(self.node):
@@ -569,6 +585,7 @@
             self.cluster.too_long(self, "the body of a request", len(body))
             return 413, {}
         orders = json.loads(body)
+        self.direct.append(orders)
         if not self.hears(orders.get("helm")):
             return HELD
         if "helm" not in orders or "watch" not in orders:
