--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -6,6 +6,7 @@
 """
 import asyncio
 import bisect
+import ctypes
 import json
 import os
 import random
@@ -23,13 +24,28 @@
 HELD = object()  # a handler returns this for a request that gets no answer
 
 
+def end_with_parent():
+    """In a new process: it is killed when the process that started it ends, however that ends."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
+
+
 def free_ports(count):
-    """Returns free ports. All are bound at the same time, so that they differ."""
+    """Returns free ports below those that the system gives to outgoing connections, which could take a controller's port
+    while it is restarted. All are bound at the same time, so that they differ."""
+    with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
+        below = int(file.read().split()[0])
+    candidates = list(range(10240, below)) if below > 12000 else list(range(10240, 32768))
+    random.shuffle(candidates)
     sockets = []
-    for _ in range(count):
+    for port in candidates:
         s = socket.socket()
-        s.bind((HOST, 0))
-        sockets.append(s)
+        try:
+            s.bind((HOST, port))
+            sockets.append(s)
+        except OSError:
+            s.close()
+        if len(sockets) == count:
+            break
     ports = [s.getsockname()[1] for s in sockets]
     for s in sockets:
         s.close()
@@ -761,7 +777,8 @@
         log = open(os.path.join(self.folder, self.labels[node] + ".log"), "a")
         environment = dict(os.environ, LOG_LEVEL=os.environ.get("LOG_LEVEL", "info"))
         self.processes[node] = await asyncio.create_subprocess_exec(
-            *command, cwd=ROOT, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, env=environment)
+            *command, cwd=ROOT, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, env=environment,
+            preexec_fn=end_with_parent)
         self.record("%s started, pid %d" % (self.labels[node], self.processes[node].pid))
 
     def signal(self, node, number):
