--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -11,10 +11,12 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import sys
 import tempfile
+import threading
 import time
 import urllib.parse
 
@@ -29,26 +31,29 @@
     ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
 
 
+HANDED_OUT = set()
+
+
 def free_ports(count):
     """Returns free ports below those that the system gives to outgoing connections, which could take a controller's port
-    while it is restarted. All are bound at the same time, so that they differ."""
+    while it is restarted. None is returned twice. Scripts that run at the same time begin at different ports."""
     with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
         below = int(file.read().split()[0])
-    candidates = list(range(10240, below)) if below > 12000 else list(range(10240, 32768))
-    random.shuffle(candidates)
-    sockets = []
-    for port in candidates:
-        s = socket.socket()
-        try:
-            s.bind((HOST, port))
-            sockets.append(s)
-        except OSError:
-            s.close()
-        if len(sockets) == count:
+    first, end = 10240, below if below > 12000 else 32768
+    begin, ports = os.getpid() * 61 % (end - first), []
+    for k in range(end - first):
+        port = first + (begin + k) % (end - first)
+        if port in HANDED_OUT:
+            continue
+        with socket.socket() as s:
+            try:
+                s.bind((HOST, port))
+            except OSError:
+                continue
+        HANDED_OUT.add(port)
+        ports.append(port)
+        if len(ports) == count:
             break
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
     return ports
 
 
@@ -384,7 +389,7 @@
         self.rented, self.history, self.count = {}, [], 0
         self.cut_fronts = set()
         self.down = False
-        self.latency_s = 0.25  # as in the site files
+        self.latency_s = 0.1  # as in the site files of this deployment
         self.boot_s = lambda: 1.0
         self.fronts = [HttpServer(lambda m, t, b, k=k: self.handle(k, m, t, b)) for k in range(cluster.nodes)]
 
@@ -803,6 +808,8 @@
         for worker in self.workers.values():
             if not worker.gone:
                 worker.end("the case ends")
+        if os.environ.get("KEEP") != "1":  # KEEP=1 keeps the controllers' settings and logs
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     async def healthy(self, node):
         answer = await request(self.public_ports[node], "GET", "/healthz", None, 1.0)
@@ -889,8 +896,16 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("TROUBLE=%d" % trouble)
 
+    def give_up():  # the event loop may be stuck; the controllers end with this process
+        record("the case did not end in time")
+        os._exit(2)
+
+    watchdog = threading.Timer(118, give_up)
+    watchdog.daemon = True
+    watchdog.start()
+
     async def limited():
-        task = asyncio.ensure_future(asyncio.wait_for(case(record, trouble), 118))
+        task = asyncio.ensure_future(asyncio.wait_for(case(record, trouble), 116))
         for number in (signal.SIGTERM, signal.SIGINT):  # a case that is stopped ends its processes, too
             asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         return await task
